Add the decision core, the platform adapters and the stand-ins

The core holds every decision without sockets or clock reads, the adapters speak the etcd v3 JSON form, the usual completions form and the engines' orders, and the stand-ins are small processes with faults on switches. Nothing is measured yet.

--- /dev/null
+++ b/savoryport/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/savoryport/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/savoryport_core/src/dispatch/limit.rs
@@ -0,0 +1,45 @@
+//! The adaptive limit of requests that one entry has under way on one server.
+
+/// A limit that grows while the server keeps its targets and shrinks when it misses them.
+///
+/// Entries share a server without talking to each other: each sees only its own first tokens, and
+/// additive growth with multiplicative decrease brings their limits towards equal shares.
+#[derive(Debug, Clone)]
+pub struct Limit {
+    value: f64,
+    max: f64,
+    since_decrease: f64,
+}
+
+impl Limit {
+    const DECREASE: f64 = 0.85;
+    const MIN: f64 = 1.0;
+
+    /// Starts at a value.
+    pub fn new(initial: f64, max: f64) -> Self {
+        Self { value: initial.clamp(Self::MIN, max), max, since_decrease: 0.0 }
+    }
+
+    /// Returns the present limit in requests.
+    pub fn value(&self) -> f64 {
+        self.value
+    }
+
+    /// Takes one finished request: whether the server was slow, and whether the limit was in use.
+    pub fn on_sample(&mut self, was_slow: bool, in_use: bool) {
+        self.since_decrease += 1.0;
+        if was_slow {
+            self.decrease();
+        } else if in_use {
+            self.value = (self.value + 1.0 / self.value).min(self.max);
+        }
+    }
+
+    /// Decreases once for each limit's worth of samples: those under way were sent before.
+    fn decrease(&mut self) {
+        if self.since_decrease >= self.value {
+            self.value = (self.value * Self::DECREASE).max(Self::MIN);
+            self.since_decrease = 0.0;
+        }
+    }
+}
--- /dev/null
+++ b/savoryport_core/src/dispatch/mod.rs
@@ -0,0 +1,296 @@
+//! Queues requests by rank at the entry and routes them to servers.
+//!
+//! Requests wait here, not in the engines, so that rank decides until the last moment. The ways
+//! that were weighed are in `docs/DESIGN.md`, their figures in `docs/MEASURES.md`.
+
+mod limit;
+mod queue;
+mod retry;
+mod routing;
+mod server;
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use smallvec::SmallVec;
+
+pub use self::limit::Limit;
+use self::queue::Queues;
+pub use self::retry::RetryBudget;
+use self::server::ServerView;
+pub use self::server::{Sample, ServerInfo};
+use crate::Name;
+use crate::rank::Rank;
+
+/// The shortest time after which a refused caller is asked to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// The longest time after which a refused caller is asked to come back.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+
+/// Tells requests of one process apart.
+pub type RequestId = u64;
+
+/// Settings of the decisions; the defaults stand in `docs/OPERATING.md`.
+#[derive(Debug, Clone)]
+pub struct DispatchConfig {
+    /// The region of this entry.
+    pub region: Name,
+    /// The guaranteed share of each rank, the most urgent first; they add up to 1.
+    pub shares: [f64; 3],
+    /// The limit of a server before anything is known of it.
+    pub initial_limit: f64,
+    /// The highest limit of a server.
+    pub max_limit: f64,
+    /// The round trip to another region.
+    pub region_round_trip: Duration,
+    /// The time that the engine takes for one prompt token that is not cached.
+    pub prefill_per_token: Duration,
+}
+
+/// One request that wants a server.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Unique in this process.
+    pub id: RequestId,
+    /// The model or adapter.
+    pub item: Name,
+    /// How urgent it is.
+    pub rank: Rank,
+    /// When the first token is due.
+    pub deadline: Instant,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// A hash of the beginning of the prompt, by which cached prefixes are found.
+    pub prefix: u64,
+    /// Servers that have failed it already.
+    pub avoid: SmallVec<[Name; 2]>,
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RefusalCause {
+    /// No server has the model or adapter in memory.
+    NotResident,
+    /// The first token would come after its deadline.
+    WouldBeLate,
+    /// The deadline passed while the request waited.
+    Expired,
+}
+
+impl RefusalCause {
+    /// Returns the word used in bodies and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotResident => "not-resident",
+            Self::WouldBeLate => "would-be-late",
+            Self::Expired => "expired",
+        }
+    }
+}
+
+/// What is to be done with a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send it to a server.
+    Start {
+        /// The request.
+        id: RequestId,
+        /// The server's name.
+        server: Name,
+    },
+    /// Tell the caller at once that it did not run.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// Why.
+        cause: RefusalCause,
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
+}
+
+/// The state of one entry's decisions.
+#[derive(Debug)]
+pub struct Dispatch {
+    cfg: DispatchConfig,
+    servers: Vec<ServerView>,
+    by_name: HashMap<Name, usize>,
+    hosts: HashMap<Name, SmallVec<[usize; 8]>>,
+    queues: Queues,
+    prefixes: routing::PrefixMap,
+}
+
+impl Dispatch {
+    /// Starts without servers.
+    pub fn new(cfg: DispatchConfig) -> Self {
+        Self {
+            cfg,
+            servers: Vec::new(),
+            by_name: HashMap::new(),
+            hosts: HashMap::new(),
+            queues: Queues::default(),
+            prefixes: routing::PrefixMap::default(),
+        }
+    }
+
+    /// Replaces the list of servers; what is known of those that stay is kept.
+    pub fn set_servers(&mut self, infos: Vec<ServerInfo>) {
+        for server in &mut self.servers {
+            server.is_listed = false;
+        }
+        for info in infos {
+            match self.by_name.get(&info.name) {
+                Some(&at) => self.servers[at].update(info),
+                None => {
+                    self.by_name.insert(info.name.clone(), self.servers.len());
+                    self.servers.push(ServerView::new(info, &self.cfg));
+                }
+            }
+        }
+        self.hosts.clear();
+        for (at, server) in self.servers.iter().enumerate().filter(|(_, s)| s.takes_work()) {
+            for item in &server.info.loaded {
+                self.hosts.entry(item.clone()).or_default().push(at);
+            }
+        }
+        self.queues.set_hosts(&self.hosts);
+    }
+
+    /// Notes that a server takes no new work, or none for a while.
+    pub fn suspend(&mut self, server: &str, until: Instant) {
+        if let Some(&at) = self.by_name.get(server) {
+            self.servers[at].suspended_until = Some(until);
+        }
+    }
+
+    /// Takes the server's own report of its load.
+    pub fn report(&mut self, server: &str, waiting: u32, running: u32, now: Instant) {
+        if let Some(&at) = self.by_name.get(server) {
+            self.servers[at].report(waiting, running, now);
+        }
+    }
+
+    /// Takes a new request and starts whatever may start now.
+    pub fn submit(&mut self, req: Request, now: Instant) -> Vec<Action> {
+        let hosts = self.usable_hosts(&req, now);
+        if hosts.is_empty() {
+            let cause = RefusalCause::NotResident;
+            return vec![Action::Refuse { id: req.id, cause, retry_after: Duration::from_secs(1) }];
+        }
+        if let Some(at) = self.immediate_server(&req, &hosts, now) {
+            return vec![self.start(req, at)];
+        }
+        let wait = self.expected_wait(req.rank, &hosts);
+        let slack = req.deadline.saturating_duration_since(now);
+        if wait > slack {
+            let retry_after = (wait - slack).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+            let cause = RefusalCause::WouldBeLate;
+            return vec![Action::Refuse { id: req.id, cause, retry_after }];
+        }
+        self.queues.push(req);
+        Vec::new()
+    }
+
+    /// Takes the end of a request on a server and starts what may start now.
+    pub fn finish(
+        &mut self,
+        server: &str,
+        rank: Rank,
+        sample: &Sample,
+        now: Instant,
+    ) -> Vec<Action> {
+        let Some(&at) = self.by_name.get(server) else { return Vec::new() };
+        self.servers[at].finish(rank, sample, now);
+        self.pump(at, now)
+    }
+
+    /// Removes a request that waits, for a caller that has left.
+    pub fn cancel(&mut self, id: RequestId) {
+        self.queues.remove(id);
+    }
+
+    /// Refuses what has waited past its deadline and starts what may start now.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions: Vec<Action> = Vec::new();
+        for req in self.queues.take_expired(now) {
+            let hosts = self.usable_hosts(&req, now);
+            let wait = self.expected_wait(req.rank, &hosts);
+            let retry_after = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+            actions.push(Action::Refuse { id: req.id, cause: RefusalCause::Expired, retry_after });
+        }
+        for at in 0..self.servers.len() {
+            actions.extend(self.pump(at, now));
+        }
+        actions
+    }
+
+    /// Returns the number of requests that wait, by rank.
+    pub fn waiting(&self) -> [usize; 3] {
+        self.queues.waiting()
+    }
+
+    /// Returns the number of requests under way on a server and its present limit.
+    pub fn in_flight(&self, server: &str) -> Option<(u32, f64)> {
+        let server = &self.servers[*self.by_name.get(server)?];
+        Some((server.total(), server.limit.value()))
+    }
+
+    fn usable_hosts(&self, req: &Request, now: Instant) -> SmallVec<[usize; 8]> {
+        let hosts = self.hosts.get(&req.item).map(SmallVec::as_slice).unwrap_or_default();
+        let usable = |at: &usize| {
+            let server = &self.servers[*at];
+            server.is_usable(now) && !req.avoid.contains(&server.info.name)
+        };
+        let found: SmallVec<[usize; 8]> = hosts.iter().copied().filter(usable).collect();
+        if found.is_empty() && !req.avoid.is_empty() {
+            // A server that failed it once is better than none.
+            return hosts.iter().copied().filter(|at| self.servers[*at].is_usable(now)).collect();
+        }
+        found
+    }
+
+    /// Returns the server where the request may start without overtaking anybody.
+    fn immediate_server(&self, req: &Request, hosts: &[usize], now: Instant) -> Option<usize> {
+        let has_room = |at: &&usize| {
+            let server = &self.servers[**at];
+            let claims = self.queues.claims(**at);
+            server.has_room_for(req.rank, claims, &self.cfg.shares)
+        };
+        let open: SmallVec<[usize; 8]> = hosts.iter().filter(has_room).copied().collect();
+        routing::choose(&self.cfg, &self.servers, &self.prefixes, req, &open, now)
+    }
+
+    fn start(&mut self, req: Request, at: usize) -> Action {
+        self.prefixes.note(req.prefix, at);
+        self.servers[at].start(req.rank);
+        Action::Start { id: req.id, server: self.servers[at].info.name.clone() }
+    }
+
+    /// Starts what waits for a server as long as it has room.
+    fn pump(&mut self, at: usize, now: Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while self.servers[at].is_usable(now) {
+            let claims = self.queues.claims(at);
+            let Some(rank) = self.servers[at].next_rank(claims, &self.cfg.shares) else { break };
+            let Some(req) = self.queues.pop(rank, at) else { break };
+            actions.push(self.start(req, at));
+        }
+        actions
+    }
+
+    /// Estimates how long a new request of a rank would wait for one of the servers.
+    fn expected_wait(&self, rank: Rank, hosts: &[usize]) -> Duration {
+        let (mut ahead, mut drain) = (1.0, 0.0);
+        for &at in hosts {
+            let server = &self.servers[at];
+            let waiting = self.queues.claims(at)[rank.index()];
+            ahead += f64::from(waiting) / hosts.len() as f64;
+            drain += server.drain_rate(rank, &self.cfg.shares);
+        }
+        if drain <= 0.0 {
+            return MAX_RETRY_AFTER;
+        }
+        Duration::from_secs_f64((ahead / drain).min(MAX_RETRY_AFTER.as_secs_f64()))
+    }
+}
--- /dev/null
+++ b/savoryport_core/src/dispatch/server.rs
@@ -0,0 +1,188 @@
+//! What one entry knows of one server.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use super::DispatchConfig;
+use super::limit::Limit;
+use crate::Name;
+use crate::rank::Rank;
+
+/// The weight of a new sample in the moving averages.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// The share of the limit by which urgent requests may exceed it, since engines honour priority.
+const URGENT_HEADROOM: f64 = 0.25;
+
+/// The share of a first-token target that the engine itself may use before it counts as slow.
+const ENGINE_SHARE_OF_TARGET: f64 = 0.6;
+
+/// How long a report of load is believed.
+const REPORT_LIFETIME: Duration = Duration::from_secs(10);
+
+/// A server as the replica lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServerInfo {
+    /// Its name.
+    pub name: Name,
+    /// Its region.
+    pub region: Name,
+    /// Models and adapters that answer there.
+    pub loaded: BTreeSet<Name>,
+    /// Whether it is about to go and takes no new work.
+    pub leaving: bool,
+}
+
+/// What one finished request told about its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sample {
+    /// From the hand-over to the first token.
+    pub first_token: Option<Duration>,
+    /// The target for that.
+    pub first_token_target: Duration,
+    /// The mean time between tokens.
+    pub between_tokens: Option<Duration>,
+    /// The target for that.
+    pub between_tokens_target: Duration,
+    /// From the hand-over to the end.
+    pub total: Duration,
+    /// Whether the server answered whole.
+    pub ok: bool,
+}
+
+#[derive(Debug)]
+pub(super) struct ServerView {
+    pub(super) info: ServerInfo,
+    pub(super) limit: Limit,
+    pub(super) suspended_until: Option<Instant>,
+    pub(super) is_listed: bool,
+    in_flight: [u32; 3],
+    first_token_seconds: f64,
+    total_seconds: [f64; 3],
+    reported: Option<Report>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Report {
+    waiting: u32,
+    running: u32,
+    at: Instant,
+}
+
+impl ServerView {
+    pub(super) fn new(info: ServerInfo, cfg: &DispatchConfig) -> Self {
+        Self {
+            info,
+            limit: Limit::new(cfg.initial_limit, cfg.max_limit),
+            suspended_until: None,
+            is_listed: true,
+            in_flight: [0; 3],
+            first_token_seconds: 0.1,
+            total_seconds: [0.5; 3],
+            reported: None,
+        }
+    }
+
+    pub(super) fn update(&mut self, info: ServerInfo) {
+        self.info = info;
+        self.is_listed = true;
+    }
+
+    pub(super) fn takes_work(&self) -> bool {
+        self.is_listed && !self.info.leaving
+    }
+
+    pub(super) fn is_usable(&self, now: Instant) -> bool {
+        self.takes_work() && self.suspended_until.is_none_or(|until| until <= now)
+    }
+
+    pub(super) fn total(&self) -> u32 {
+        self.in_flight.iter().sum()
+    }
+
+    pub(super) fn start(&mut self, rank: Rank) {
+        self.in_flight[rank.index()] += 1;
+    }
+
+    pub(super) fn report(&mut self, waiting: u32, running: u32, now: Instant) {
+        self.reported = Some(Report { waiting, running, at: now });
+    }
+
+    pub(super) fn finish(&mut self, rank: Rank, sample: &Sample, _now: Instant) {
+        let in_use = f64::from(self.total()) >= self.limit.value() * 0.8;
+        self.in_flight[rank.index()] = self.in_flight[rank.index()].saturating_sub(1);
+        if let Some(first_token) = sample.first_token {
+            blend(&mut self.first_token_seconds, first_token);
+        }
+        if sample.ok {
+            blend(&mut self.total_seconds[rank.index()], sample.total);
+        }
+        self.limit.on_sample(is_slow(sample), in_use);
+    }
+
+    /// Returns the limit that holds for a rank.
+    fn limit_for(&self, rank: Rank) -> f64 {
+        let headroom = if rank == Rank::Urgent { URGENT_HEADROOM } else { 0.0 };
+        self.limit.value() * (1.0 + headroom)
+    }
+
+    fn is_under_guarantee(&self, rank: Rank, shares: &[f64; 3]) -> bool {
+        let guaranteed = (shares[rank.index()] * self.limit.value()).max(1.0);
+        f64::from(self.in_flight[rank.index()]) < guaranteed
+    }
+
+    /// Returns whether a request of a rank may start although others wait, given by rank.
+    pub(super) fn has_room_for(&self, rank: Rank, waiting: [u32; 3], shares: &[f64; 3]) -> bool {
+        let mut waiting = waiting;
+        waiting[rank.index()] += 1;
+        self.next_rank(waiting, shares) == Some(rank) && waiting[rank.index()] == 1
+    }
+
+    /// Returns the rank whose turn it is: first those below their guaranteed share, the most
+    /// urgent first; then what is unused is lent, again the most urgent first.
+    pub(super) fn next_rank(&self, waiting: [u32; 3], shares: &[f64; 3]) -> Option<Rank> {
+        let total = f64::from(self.total());
+        let wants = |rank: &Rank| waiting[rank.index()] > 0 && total < self.limit_for(*rank);
+        let guaranteed = |rank: &Rank| wants(rank) && self.is_under_guarantee(*rank, shares);
+        let ranks = || Rank::ALL.into_iter();
+        ranks().find(guaranteed).or_else(|| ranks().find(wants))
+    }
+
+    /// Estimates the time to the first token of a request started now.
+    pub(super) fn expected_first_token(&self, now: Instant) -> Duration {
+        let own = f64::from(self.total());
+        let foreign = self.foreign_load(now, own);
+        let crowding = (own + foreign) / self.limit.value();
+        Duration::from_secs_f64(self.first_token_seconds * (0.5 + crowding))
+    }
+
+    /// Load by other entries, which fades as the report ages.
+    fn foreign_load(&self, now: Instant, own: f64) -> f64 {
+        let Some(report) = self.reported else { return 0.0 };
+        let age = now.saturating_duration_since(report.at);
+        let belief = 1.0 - (age.as_secs_f64() / REPORT_LIFETIME.as_secs_f64()).min(1.0);
+        let reported = f64::from(report.waiting * 2 + report.running);
+        (reported - own).max(0.0) * belief
+    }
+
+    /// Estimates how many waiting requests of a rank the server starts each second.
+    pub(super) fn drain_rate(&self, rank: Rank, shares: &[f64; 3]) -> f64 {
+        let limit = self.limit_for(rank);
+        let own = f64::from(self.in_flight[rank.index()]);
+        let others = f64::from(self.total()) - own;
+        let slots = (limit - others).max(shares[rank.index()] * limit).max(own).max(0.5);
+        slots / self.total_seconds[rank.index()].max(1e-3)
+    }
+}
+
+fn blend(average: &mut f64, sample: Duration) {
+    *average += (sample.as_secs_f64() - *average) * SAMPLE_WEIGHT;
+}
+
+fn is_slow(sample: &Sample) -> bool {
+    let allowed = sample.first_token_target.mul_f64(ENGINE_SHARE_OF_TARGET);
+    let is_late = sample.first_token.is_some_and(|first_token| first_token > allowed);
+    let is_dragging =
+        sample.between_tokens.is_some_and(|between| between > sample.between_tokens_target);
+    !sample.ok || is_late || is_dragging
+}
--- /dev/null
+++ b/savoryport_standin/src/http.rs
@@ -0,0 +1,123 @@
+//! A small HTTP server that ends with its handle.
+
+use std::io::{self, Read, Write};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+
+use serde::Serialize;
+use tiny_http::{Header, Request, Response, Server};
+
+/// The longest body that a stand-in reads, in bytes.
+const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
+
+/// A running server; it stops when this is dropped.
+pub struct Running {
+    address: String,
+    server: Arc<Server>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Running {
+    /// Listens on `address` and gives each request to `handle`, on a thread of its own.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the address cannot be listened on.
+    pub fn start(address: &str, handle: impl Fn(Request) + Send + Sync + 'static) -> Self {
+        let server = Server::http(address).unwrap_or_else(|err| panic!("{address}: {err}"));
+        let server = Arc::new(server);
+        let address = server.server_addr().to_string();
+        let handle = Arc::new(handle);
+        let accepting = server.clone();
+        let thread = thread::spawn(move || {
+            for req in accepting.incoming_requests() {
+                let handle = handle.clone();
+                thread::spawn(move || handle(req));
+            }
+        });
+        Self { address, server, thread: Some(thread) }
+    }
+
+    /// Returns the IP address and port.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.server.unblock();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Reads the whole body.
+pub fn read_body(req: &mut Request) -> Vec<u8> {
+    let mut buf = Vec::new();
+    let _ = req.as_reader().take(MAX_BODY_BYTES).read_to_end(&mut buf);
+    buf
+}
+
+/// Answers with JSON; a caller that has left is ignored.
+pub fn answer_json(req: Request, status: u16, body: &impl Serialize) {
+    let buf = serde_json::to_vec(body).expect("stand-ins answer plain values");
+    let header = Header::from_bytes("content-type", "application/json").expect("plain ASCII");
+    let _ = req.respond(Response::from_data(buf).with_status_code(status).with_header(header));
+}
+
+/// Returns the value of a header.
+pub fn header(req: &Request, name: &'static str) -> Option<String> {
+    let found = req.headers().iter().find(|header| header.field.equiv(name))?;
+    Some(found.value.to_string())
+}
+
+/// Leaves a request without an answer, as if the answer were lost.
+///
+/// The connection stays silent until the caller gives up.
+pub fn lose_answer(req: Request) {
+    drop(req.into_writer());
+}
+
+/// A body that is sent in pieces, each at once.
+pub struct Chunked {
+    writer: Box<dyn Write + Send>,
+}
+
+impl Chunked {
+    /// Sends the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the caller has left.
+    pub fn start(req: Request, content_type: &str) -> io::Result<Self> {
+        let mut writer = req.into_writer();
+        write!(
+            writer,
+            "HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\ntransfer-encoding: chunked\r\n\r\n"
+        )?;
+        writer.flush()?;
+        Ok(Self { writer })
+    }
+
+    /// Sends one piece.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the caller has left; the first write after that may still succeed.
+    pub fn send(&mut self, piece: &str) -> io::Result<()> {
+        write!(self.writer, "{:x}\r\n{piece}\r\n", piece.len())?;
+        self.writer.flush()
+    }
+
+    /// Ends the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the caller has left.
+    pub fn finish(mut self) -> io::Result<()> {
+        self.writer.write_all(b"0\r\n\r\n")?;
+        self.writer.flush()
+    }
+}
--- /dev/null
+++ b/savoryport_standin/src/kv.rs
@@ -0,0 +1,355 @@
+//! A stand-in for the key-value service, in the JSON form of etcd v3.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use tiny_http::Request;
+
+use crate::http::{Chunked, Running, answer_json, lose_answer, read_body};
+
+/// How often a watch looks whether its caller is still there.
+const WATCH_BEAT: Duration = Duration::from_millis(100);
+
+/// The most past events kept for watches that start in the past.
+const KEPT_EVENTS: usize = 10_000;
+
+/// Faults that are switched on and off while the service runs.
+#[derive(Debug, Clone, Default)]
+pub struct Faults {
+    /// No call is answered.
+    pub down: bool,
+    /// Each call takes this long.
+    pub delay: Duration,
+    /// So many writes take effect without an answer.
+    pub lose_write_answers: u32,
+    /// The most reads a second; others are refused with status 429. None is no limit.
+    pub max_reads_per_second: Option<u32>,
+    /// The most writes a second; others are refused with status 429. None is no limit.
+    pub max_writes_per_second: Option<u32>,
+}
+
+/// How many calls the service has had.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Calls {
+    /// Reads.
+    pub reads: u64,
+    /// Writes, leases included.
+    pub writes: u64,
+    /// Watches.
+    pub watches: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Item {
+    value: String,
+    revision: u64,
+    lease: Option<i64>,
+}
+
+#[derive(Debug, Clone)]
+struct Event {
+    key: String,
+    revision: u64,
+    json: Value,
+}
+
+#[derive(Debug)]
+struct LeaseState {
+    time_to_live: Duration,
+    ends_at: Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    events: Vec<Event>,
+    leases: HashMap<i64, LeaseState>,
+    last_lease: i64,
+    faults: Faults,
+    calls: Calls,
+    second: Option<Instant>,
+    in_second: Calls,
+}
+
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// A running key-value service.
+pub struct KvStandin {
+    running: Running,
+    shared: Arc<Shared>,
+}
+
+impl KvStandin {
+    /// Starts an empty service.
+    pub fn start(address: &str) -> Self {
+        let shared = Arc::new(Shared { state: Mutex::default(), changed: Condvar::new() });
+        let handling = shared.clone();
+        let running = Running::start(address, move |req| handle(&handling, req));
+        Self { running, shared }
+    }
+
+    /// Returns the IP address and port.
+    pub fn address(&self) -> &str {
+        self.running.address()
+    }
+
+    /// Changes the faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.shared.lock().faults);
+        self.shared.changed.notify_all();
+    }
+
+    /// Returns how many calls there were.
+    pub fn calls(&self) -> Calls {
+        self.shared.lock().calls
+    }
+
+    /// Returns a value as stored.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let state = self.shared.lock();
+        let item = state.items.get(&STANDARD.encode(key))?;
+        Some(STANDARD.decode(&item.value).expect("clients encode values"))
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+impl State {
+    fn expire(&mut self, now: Instant) {
+        let ended: Vec<i64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.ends_at <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            self.revoke(id);
+        }
+    }
+
+    fn revoke(&mut self, id: i64) {
+        self.leases.remove(&id);
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == Some(id))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.revision += 1;
+            self.items.remove(&key);
+            let revision = self.revision;
+            let kv = json!({ "key": key, "mod_revision": revision.to_string() });
+            self.note(key, json!({ "type": "DELETE", "kv": kv }));
+        }
+    }
+
+    fn put(&mut self, key: &str, value: &str, lease: Option<i64>) {
+        self.revision += 1;
+        let revision = self.revision;
+        self.items.insert(key.to_owned(), Item { value: value.to_owned(), revision, lease });
+        let kv = json!({ "key": key, "value": value, "mod_revision": revision.to_string() });
+        self.note(key.to_owned(), json!({ "type": "PUT", "kv": kv }));
+    }
+
+    fn note(&mut self, key: String, json: Value) {
+        self.events.push(Event { key, revision: self.revision, json });
+        let excess = self.events.len().saturating_sub(KEPT_EVENTS);
+        self.events.drain(..excess);
+    }
+
+    fn is_over_rate(&mut self, now: Instant, is_write: bool) -> bool {
+        if self.second.is_none_or(|start| now - start >= Duration::from_secs(1)) {
+            self.second = Some(now);
+            self.in_second = Calls::default();
+        }
+        let (count, limit) = if is_write {
+            (&mut self.in_second.writes, self.faults.max_writes_per_second)
+        } else {
+            (&mut self.in_second.reads, self.faults.max_reads_per_second)
+        };
+        *count += 1;
+        limit.is_some_and(|limit| *count > u64::from(limit))
+    }
+}
+
+fn handle(shared: &Shared, mut req: Request) {
+    let body: Value = serde_json::from_slice(&read_body(&mut req)).unwrap_or_default();
+    let path = req.url().to_owned();
+    let is_write = matches!(path.as_str(), "/v3/kv/txn" | "/v3/lease/grant" | "/v3/lease/revoke");
+    let delay = shared.lock().faults.delay;
+    if !delay.is_zero() {
+        thread::sleep(delay);
+    }
+    let mut state = shared.lock();
+    if state.faults.down {
+        return lose_answer(req);
+    }
+    let now = Instant::now();
+    state.expire(now);
+    if state.is_over_rate(now, is_write) {
+        drop(state);
+        return answer_json(req, 429, &json!({ "error": "too many requests" }));
+    }
+    if path == "/v3/watch" {
+        state.calls.watches += 1;
+        drop(state);
+        return watch(shared, req, &body);
+    }
+    if is_write {
+        state.calls.writes += 1;
+    } else {
+        state.calls.reads += 1;
+    }
+    let Some(answer) = carry_out(&mut state, &path, &body, now) else {
+        drop(state);
+        return answer_json(req, 404, &json!({ "error": "unknown call" }));
+    };
+    let is_lost = is_write && state.faults.lose_write_answers > 0;
+    if is_lost {
+        state.faults.lose_write_answers -= 1;
+    }
+    drop(state);
+    shared.changed.notify_all();
+    if is_lost { lose_answer(req) } else { answer_json(req, 200, &answer) }
+}
+
+fn carry_out(state: &mut State, path: &str, body: &Value, now: Instant) -> Option<Value> {
+    Some(match path {
+        "/v3/kv/range" => range(state, body),
+        "/v3/kv/txn" => txn(state, body),
+        "/v3/lease/grant" => grant(state, body, now),
+        "/v3/lease/keepalive" => keep_alive(state, body, now),
+        "/v3/lease/revoke" => {
+            state.revoke(number(&body["ID"]));
+            json!({ "header": header(state) })
+        }
+        _ => return None,
+    })
+}
+
+fn header(state: &State) -> Value {
+    json!({ "revision": state.revision.to_string() })
+}
+
+fn range(state: &State, body: &Value) -> Value {
+    let key = text(&body["key"]);
+    let end = body["range_end"].as_str();
+    let kvs: Vec<Value> = state
+        .items
+        .iter()
+        .filter(|(candidate, _)| is_in_range(candidate, key, end))
+        .map(|(key, item)| {
+            let revision = item.revision.to_string();
+            json!({ "key": key, "value": item.value, "mod_revision": revision })
+        })
+        .collect();
+    json!({ "header": header(state), "count": kvs.len().to_string(), "kvs": kvs })
+}
+
+fn txn(state: &mut State, body: &Value) -> Value {
+    let holds = |compare: &Value| {
+        let revision = state.items.get(text(&compare["key"])).map_or(0, |item| item.revision);
+        revision as i64 == number(&compare["mod_revision"])
+    };
+    let succeeded = body["compare"].as_array().is_none_or(|all| all.iter().all(holds));
+    if succeeded {
+        for put in body["success"].as_array().into_iter().flatten() {
+            let put = &put["request_put"];
+            let lease = Some(number(&put["lease"])).filter(|lease| *lease != 0);
+            if lease.is_some_and(|lease| !state.leases.contains_key(&lease)) {
+                return json!({ "header": header(state), "succeeded": false });
+            }
+            state.put(text(&put["key"]), text(&put["value"]), lease);
+        }
+    }
+    json!({ "header": header(state), "succeeded": succeeded })
+}
+
+fn grant(state: &mut State, body: &Value, now: Instant) -> Value {
+    let time_to_live = Duration::from_secs(number(&body["TTL"]).max(1) as u64);
+    state.last_lease += 1;
+    let id = state.last_lease;
+    state.leases.insert(id, LeaseState { time_to_live, ends_at: now + time_to_live });
+    let seconds = time_to_live.as_secs().to_string();
+    json!({ "header": header(state), "ID": id.to_string(), "TTL": seconds })
+}
+
+fn keep_alive(state: &mut State, body: &Value, now: Instant) -> Value {
+    let id = number(&body["ID"]);
+    let seconds = state.leases.get_mut(&id).map_or(0, |lease| {
+        lease.ends_at = now + lease.time_to_live;
+        lease.time_to_live.as_secs()
+    });
+    json!({ "result": { "ID": id.to_string(), "TTL": seconds.to_string() } })
+}
+
+fn watch(shared: &Shared, req: Request, body: &Value) {
+    let create = &body["create_request"];
+    let (key, end) = (text(&create["key"]).to_owned(), create["range_end"].as_str());
+    let mut next = number(&create["start_revision"]) as u64;
+    let Ok(mut stream) = Chunked::start(req, "application/json") else { return };
+    loop {
+        let (events, revision, is_down) = wait_for_events(shared, &key, end, next);
+        if is_down {
+            return;
+        }
+        next = next.max(revision + 1);
+        let result = json!({ "header": { "revision": revision.to_string() }, "events": events });
+        // An empty answer also shows whether the caller is still there.
+        if stream.send(&format!("{}\n", json!({ "result": result }))).is_err() {
+            return;
+        }
+    }
+}
+
+fn wait_for_events(
+    shared: &Shared,
+    key: &str,
+    end: Option<&str>,
+    next: u64,
+) -> (Vec<Value>, u64, bool) {
+    let find = |state: &State| -> Vec<Value> {
+        let is_new = |event: &&Event| event.revision >= next && is_in_range(&event.key, key, end);
+        state.events.iter().filter(is_new).map(|event| event.json.clone()).collect()
+    };
+    let mut state = shared.lock();
+    if find(&state).is_empty() {
+        state = shared.changed.wait_timeout(state, WATCH_BEAT).expect("no holder panics").0;
+        state.expire(Instant::now());
+    }
+    (find(&state), state.revision, state.faults.down)
+}
+
+/// Tells whether a key lies in a range; keys are compared as bytes, not in their encoded form.
+fn is_in_range(candidate: &str, key: &str, end: Option<&str>) -> bool {
+    let decode = |text: &str| STANDARD.decode(text).unwrap_or_default();
+    match end {
+        None => candidate == key,
+        Some(end) => {
+            let candidate = decode(candidate);
+            decode(key) <= candidate && candidate < decode(end)
+        }
+    }
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or_default()
+}
+
+fn number(value: &Value) -> i64 {
+    value.as_i64().or_else(|| value.as_str()?.parse().ok()).unwrap_or(0)
+}
