Bind stray load orders to the engine process that may still receive them

An order whose answer was lost had gone to a restarted engine process that the ledger did not know yet; on noticing the restart the steward forgot its unanswered sendings, released the reservation, and the late order loaded the model a second time. Ruled out: the take-over path (no take-over in the trace) and the late writes (none applied after revision 31).

Change: a stray order carries its reach. It is Open while its issuer may send it, Closed once it will not, and UpTo(process) once an engine process was seen running after that; only a later engine process clears it. The engine's state is dropped when the record is read again.

--- a/savoryport_core/src/ledger/mod.rs
+++ b/savoryport_core/src/ledger/mod.rs
@@ -8,7 +8,7 @@
 mod steward;
 
 pub use self::record::{
-    EngineItem, EngineState, HolderId, ItemState, Order, OrderKind, Reservation, ReservationState,
-    ServerRecord, Stray,
+    EngineItem, EngineState, HolderId, ItemState, Order, OrderKind, Reach, Reservation,
+    ReservationState, ServerRecord, Stray,
 };
 pub use self::steward::{OrderAnswer, Step, Steward, WantedItem, Wishes, WriteAnswer};
--- a/savoryport_core/src/ledger/record.rs
+++ b/savoryport_core/src/ledger/record.rs
@@ -66,14 +66,25 @@
         pub issuer: HolderId,
     }
 
+    /// How a stray order may still reach an engine.
+    pub enum Reach {
+        /// The issuer may still send it, to whatever engine process it finds.
+        Open,
+        /// The issuer will not send it again; bytes may be under way to any engine process so far.
+        Closed,
+        /// Bytes may be under way to this engine process or to an earlier one, and to no later one:
+        /// it was seen running after the issuer's last sending.
+        UpTo(u64),
+    }
+
     /// A load order that may still reach the engine.
     pub struct Stray {
         /// Its fencing number.
         pub fence: u64,
         /// The process that recorded it.
         pub issuer: HolderId,
-        /// Whether the issuer may still send it; otherwise only its bytes may be under way.
-        pub open: bool,
+        /// How it may still arrive.
+        pub reach: Reach,
     }
 
     /// Memory set aside for a model or adapter.
--- a/savoryport_core/src/ledger/steward.rs
+++ b/savoryport_core/src/ledger/steward.rs
@@ -8,7 +8,7 @@
 use smallvec::smallvec;
 
 use super::record::{
-    EngineState, HolderId, ItemState, Order, OrderKind, Reservation, ReservationState,
+    EngineState, HolderId, ItemState, Order, OrderKind, Reach, Reservation, ReservationState,
     ServerRecord, Stray,
 };
 use crate::Name;
@@ -122,6 +122,8 @@
     /// Takes the record as read at a revision.
     pub fn on_read(&mut self, record: ServerRecord, revision: u64) {
         self.cached = Some((record, revision));
+        // What the engine said before says nothing about what the record has meanwhile closed.
+        self.engine = None;
     }
 
     /// Takes the answer to a write.
@@ -184,22 +186,18 @@
 
     /// Marks what this process left behind when another took over: it will not send it any more.
     fn give_up_own_strays(&self, record: &ServerRecord) -> Option<ServerRecord> {
-        if record.holder.as_ref() == Some(&self.me) {
-            return None;
-        }
-        let is_mine = |stray: &Stray| stray.issuer == self.me && stray.open;
+        let is_mine = |stray: &Stray| stray.issuer == self.me && stray.reach == Reach::Open;
         let any = record.reservations.iter().flat_map(|r| &r.strays).any(is_mine);
         if !any {
             return None;
         }
         let mut record = record.clone();
         for reservation in &mut record.reservations {
-            for stray in &mut reservation.strays {
-                stray.open &= stray.issuer != self.me;
+            let is_void = |stray: &Stray| is_mine(stray) && !self.is_unanswered(stray.fence);
+            reservation.strays.retain(|stray| !is_void(stray));
+            for stray in reservation.strays.iter_mut().filter(|stray| is_mine(stray)) {
+                stray.reach = Reach::Closed;
             }
-            let unsent =
-                |stray: &Stray| stray.issuer == self.me && !self.is_unanswered(stray.fence);
-            reservation.strays.retain(|stray| !unsent(stray));
         }
         Some(record)
     }
@@ -216,10 +214,10 @@
         wishes: &Wishes<'_>,
     ) -> ServerRecord {
         let mut record = record.clone();
+        bind_closed_strays(&mut record, engine.incarnation);
         close_strays_of_the_gone(&mut record, wishes.is_gone);
         if record.engine_incarnation != engine.incarnation {
             restart(&mut record, engine.incarnation);
-            self.sent.clear();
         }
         self.settle_pending(&mut record, engine);
         raise_to_report(&mut record, engine);
@@ -245,7 +243,7 @@
         let Some(reservation) = record.get_mut(&order.item) else { return };
         if in_doubt {
             let (fence, issuer) = (order.fence, order.issuer.clone());
-            reservation.strays.push(Stray { fence, issuer, open: false });
+            reservation.strays.push(Stray { fence, issuer, reach: Reach::Closed });
         }
         reservation.state = match state {
             Some(ItemState::Loaded) => ReservationState::Loaded,
@@ -263,7 +261,7 @@
     let Some(reservation) = record.get_mut(&order.item) else { return record };
     match order.kind {
         OrderKind::Load => {
-            let stray = Stray { fence: order.fence, issuer: order.issuer, open: true };
+            let stray = Stray { fence: order.fence, issuer: order.issuer, reach: Reach::Open };
             reservation.strays.push(stray);
         }
         OrderKind::Unload => reservation.state = ReservationState::Loaded,
@@ -273,18 +271,29 @@
 
 fn close_strays_of_the_gone(record: &mut ServerRecord, is_gone: &dyn Fn(&HolderId) -> bool) {
     for stray in record.reservations.iter_mut().flat_map(|r| &mut r.strays) {
-        if stray.open && is_gone(&stray.issuer) {
-            stray.open = false;
+        if stray.reach == Reach::Open && is_gone(&stray.issuer) {
+            stray.reach = Reach::Closed;
+        }
+    }
+}
+
+/// Notes which engine process runs after a stray was closed. The state at hand was asked for after
+/// the last write of the record, so whatever stood closed there was closed before.
+fn bind_closed_strays(record: &mut ServerRecord, incarnation: u64) {
+    for stray in record.reservations.iter_mut().flat_map(|r| &mut r.strays) {
+        if stray.reach == Reach::Closed {
+            stray.reach = Reach::UpTo(incarnation);
         }
     }
 }
 
 /// Notes that the engine is another process: its memory is empty, and bytes under way to the former
-/// one cannot reach it. A process that has yet to send an order can.
+/// one cannot reach it.
 fn restart(record: &mut ServerRecord, incarnation: u64) {
     record.engine_incarnation = incarnation;
     for reservation in &mut record.reservations {
-        reservation.strays.retain(|stray| stray.open);
+        let is_past = |reach: &Reach| matches!(reach, Reach::UpTo(seen) if *seen != incarnation);
+        reservation.strays.retain(|stray| !is_past(&stray.reach));
         reservation.state = match reservation.state {
             ReservationState::Retained => ReservationState::Retained,
             _ => ReservationState::Reserved,
@@ -327,8 +336,11 @@
     if !record.checks_fencing {
         return;
     }
+    let is_refused = |stray: &Stray| {
+        stray.reach == Reach::UpTo(engine.incarnation) && stray.fence < engine.highest_fence
+    };
     for reservation in &mut record.reservations {
-        reservation.strays.retain(|stray| stray.open || stray.fence >= engine.highest_fence);
+        reservation.strays.retain(|stray| !is_refused(stray));
     }
 }
 
