Keep a watermark of what a node has seen of ledgers and marks

Cause: a node asked for ledgers after the highest revision that it had of any server. A control process that wrote the ledger of one server thereby stopped asking for older news of the others. A reader that was cut off also never saw the removal of a mark, so a lease that lapsed meanwhile looked held for good.

Change: an update carries the revision up to which its sender knows everything, and only that moves the watermark; a listing marks as gone what it lacks.

--- a/savoryport/src/control/reader.rs
+++ b/savoryport/src/control/reader.rs
@@ -104,7 +104,8 @@
         Ok(listed) => listed,
         Err(_) => return ask_peers(cx).await,
     };
-    cx.hub.add(update_of(entries.into_iter().map(Event::Put)));
+    let update = update_of(entries.into_iter().map(Event::Put));
+    cx.hub.add(cx.hub.replica().complete(Update { seen: revision, ..update }));
     log::info!(revision; "reading the platform");
     let beside = tokio::spawn(read_beside(cx.clone()));
     let started = cx.clock.now();
@@ -112,7 +113,7 @@
         match cx.platform.watch(keys::PREFIX, revision, WAIT).await {
             Ok(events) => {
                 revision = events.iter().map(event_revision).fold(revision, Revision::max);
-                cx.hub.add(update_of(events.into_iter()));
+                cx.hub.add(Update { seen: revision, ..update_of(events.into_iter()) });
             }
             Err(err) => {
                 log::warn!(err:%; "platform lost; going on with what is known");
--- a/savoryport_core/src/replica.rs
+++ b/savoryport_core/src/replica.rs
@@ -54,10 +54,9 @@
         pub plan: u64,
         /// The version of the list of VMs.
         pub vms: u64,
-        /// The highest revision of any server's ledger.
-        pub revision: u64,
-        /// The highest revision of any mark.
-        pub marks: u64,
+        /// The revision up to which the node knows of every change of ledgers and marks. What it
+        /// learned directly, such as its own writes, does not count.
+        pub seen: u64,
     }
 
     /// What a node lacks.
@@ -75,6 +74,8 @@
         pub residency: BTreeMap<Name, Residency>,
         /// The marks that changed.
         pub marks: BTreeMap<Name, Mark>,
+        /// The revision up to which the sender knows of every change, or 0 for single news.
+        pub seen: u64,
     }
 }
 
@@ -116,6 +117,7 @@
     /// Short facts by key.
     pub marks: BTreeMap<Name, Mark>,
     deltas: Vec<TableDelta>,
+    seen: u64,
 }
 
 impl Replica {
@@ -125,14 +127,13 @@
             table: self.table.version,
             plan: self.plan.version,
             vms: self.vms.version,
-            revision: self.residency.values().map(|r| r.revision).max().unwrap_or(0),
-            marks: self.marks.values().map(|mark| mark.revision).max().unwrap_or(0),
+            seen: self.seen,
         }
     }
 
     /// Takes over what is newer and returns whether anything was.
     pub fn merge(&mut self, update: Update) -> bool {
-        let before = self.versions();
+        let before = Versions { seen: 0, ..self.versions() };
         let table = update.table.or_else(|| update.delta.and_then(|d| d.apply(&self.table)));
         if let Some(table) = table {
             self.take_table(table);
@@ -148,11 +149,30 @@
             changed |= self.take_residency(server, residency);
         }
         for (key, mark) in update.marks {
-            if mark.revision > self.marks.get(&key).map_or(0, |known| known.revision) {
-                self.marks.insert(key, mark);
+            changed |= self.take_mark(key, mark);
+        }
+        self.seen = self.seen.max(update.seen);
+        changed || before != Versions { seen: 0, ..self.versions() }
+    }
+
+    /// Adds to a whole listing of the key-value service what must have been removed since: marks
+    /// that this node knows and the listing lacks.
+    pub fn complete(&self, mut listing: Update) -> Update {
+        let revision = listing.seen;
+        for (key, mark) in &self.marks {
+            if mark.revision <= revision && !listing.marks.contains_key(key) {
+                listing.marks.insert(key.clone(), Mark { revision, value: None });
             }
         }
-        changed || before != self.versions()
+        listing
+    }
+
+    fn take_mark(&mut self, key: Name, mark: Mark) -> bool {
+        let is_newer = mark.revision > self.marks.get(&key).map_or(0, |known| known.revision);
+        if is_newer {
+            self.marks.insert(key, mark);
+        }
+        is_newer
     }
 
     fn take_table(&mut self, table: Table) {
@@ -187,15 +207,16 @@
         update.residency = self
             .residency
             .iter()
-            .filter(|(_, residency)| residency.revision > have.revision)
+            .filter(|(_, residency)| residency.revision > have.seen)
             .map(|(server, residency)| (server.clone(), residency.clone()))
             .collect();
         update.marks = self
             .marks
             .iter()
-            .filter(|(_, mark)| mark.revision > have.marks)
+            .filter(|(_, mark)| mark.revision > have.seen)
             .map(|(key, mark)| (key.clone(), mark.clone()))
             .collect();
+        update.seen = self.seen;
         update
     }
 
@@ -216,8 +237,8 @@
 }
 
 impl Update {
-    /// Returns whether there is nothing in it.
+    /// Returns whether there is no news in it.
     pub fn is_empty(&self) -> bool {
-        *self == Self::default()
+        *self == Self { seen: self.seen, ..Self::default() }
     }
 }
--- /dev/null
+++ b/savoryport_core/tests/ticket.rs
@@ -0,0 +1,99 @@
+//! A request with a ticket starts at most once, whatever happens to it and to its home.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use proptest::prelude::*;
+use savoryport_core::ticket::{Admission, MAX_STARTED_PER_EPOCH, Ticket, TicketBook};
+
+const EPOCH: Duration = Duration::from_secs(60);
+
+fn book(incarnation: u64, now: Instant) -> TicketBook {
+    TicketBook::new("vm-1".into(), incarnation, EPOCH, now)
+}
+
+#[test]
+fn a_ticket_starts_once_and_only_at_its_home() {
+    let now = Instant::now();
+    let mut home = book(1, now);
+    let ticket = home.issue(now);
+    assert_eq!(home.admit(&ticket, now), Admission::Start);
+    assert_eq!(home.admit(&ticket, now), Admission::AlreadyStarted);
+    let mut other = TicketBook::new("vm-2".into(), 9, EPOCH, now);
+    assert_eq!(other.admit(&ticket, now), Admission::Elsewhere);
+    let mut successor = book(2, now);
+    assert_eq!(successor.admit(&ticket, now), Admission::TooOld);
+}
+
+#[test]
+fn a_ticket_is_refused_once_its_use_may_be_forgotten() {
+    let start = Instant::now();
+    let mut home = book(1, start);
+    let ticket = home.issue(start);
+    assert_eq!(home.admit(&ticket, start + EPOCH * 2), Admission::Start);
+    assert_eq!(home.admit(&ticket, start + EPOCH * 2), Admission::AlreadyStarted);
+    assert_eq!(home.admit(&ticket, start + EPOCH * 3), Admission::TooOld);
+}
+
+#[test]
+fn a_ticket_of_a_later_epoch_than_the_home_has_reached_is_refused() {
+    let now = Instant::now();
+    let forged = Ticket { home: "vm-1".into(), incarnation: 1, epoch: 9, number: 1 };
+    assert_eq!(book(1, now).admit(&forged, now), Admission::TooOld);
+}
+
+#[test]
+fn a_full_book_refuses_before_the_start() {
+    let now = Instant::now();
+    let mut home = book(1, now);
+    for _ in 0..MAX_STARTED_PER_EPOCH {
+        let ticket = home.issue(now);
+        assert_eq!(home.admit(&ticket, now), Admission::Start);
+    }
+    let ticket = home.issue(now);
+    assert_eq!(home.admit(&ticket, now), Admission::Full);
+    home.give_back(&Ticket { number: 1, ..ticket.clone() });
+    assert_eq!(home.admit(&ticket, now), Admission::Start);
+}
+
+proptest! {
+    #[test]
+    fn a_ticket_survives_its_text(
+        home in "[a-z0-9.-]{1,20}", incarnation: u64, epoch: u64, number: u64
+    ) {
+        let ticket = Ticket { home: home.into(), incarnation, epoch, number };
+        prop_assert_eq!(ticket.to_string().parse::<Ticket>(), Ok(ticket));
+    }
+
+    #[test]
+    fn any_text_is_a_ticket_or_refused(text in ".{0,60}") {
+        let _ = text.parse::<Ticket>();
+    }
+
+    /// Repetitions at any time, also after restarts of the home, start a request at most once.
+    #[test]
+    fn at_most_one_start(steps in prop::collection::vec((0..10_u8, 0..8_usize, 0..90_u64), 1..200)) {
+        let mut now = Instant::now();
+        let (mut incarnation, mut home) = (1, book(1, now));
+        let mut tickets: Vec<Ticket> = Vec::new();
+        let mut starts: HashMap<String, u32> = HashMap::new();
+        for (kind, at, seconds) in steps {
+            match kind {
+                0..3 => tickets.push(home.issue(now)),
+                3 => now += Duration::from_secs(seconds),
+                4 => {
+                    incarnation += 1;
+                    home = book(incarnation, now);
+                }
+                _ if tickets.is_empty() => {}
+                _ => {
+                    let ticket = &tickets[at % tickets.len()];
+                    if home.admit(ticket, now) == Admission::Start {
+                        *starts.entry(ticket.to_string()).or_default() += 1;
+                    }
+                }
+            }
+        }
+        prop_assert!(starts.values().all(|count| *count == 1), "{:?}", starts);
+    }
+}
