--- a/savoryport_standin/src/fleet.rs
+++ b/savoryport_standin/src/fleet.rs
@@ -1,6 +1,6 @@
 //! A whole platform on loopback: stand-ins for a demonstration or a test.
 
-use std::net::TcpListener;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use savoryport_core::fleet::{Vm, VmList, VmRole};
@@ -82,12 +82,13 @@
     }
 }
 
-/// Returns a loopback address that nobody listened on a moment ago.
+/// Returns a loopback address for a daemon to listen on.
 ///
-/// # Panics
-///
-/// Panics where the system has no free port.
+/// A port that was free a moment ago may be taken by an outgoing connection of any process. Those
+/// come from 127.0.0.1, so each process hands out ports of a loopback IP of its own.
 pub fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound listener").to_string()
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(7_000);
+    let pid = std::process::id();
+    let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+    format!("127.{}.{}.1:{port}", 1 + pid / 250 % 250, 1 + pid % 250)
 }
