Flush answers before a stopping entry ends

The request counted as ended once its last piece was handed to the connection, and the process ended before the bytes left. Ruled out: the drain limit (5 s, the stream takes 1.2 s) and the engine (it counted the stream as finished).

Change: after the last request the entry shuts its connections down gracefully and waits for them, within the same limit.

--- a/savoryport/src/entry/mod.rs
+++ b/savoryport/src/entry/mod.rs
@@ -60,6 +60,9 @@
     claims: claim::Claims,
     metrics: EntryMetrics,
     requests: TaskTracker,
+    connections: TaskTracker,
+    /// Cancelled once the requests have ended, to close the connections.
+    closing: CancellationToken,
     is_draining: AtomicBool,
 }
 
@@ -105,6 +108,8 @@
         pool: Pool::default(),
         metrics,
         requests: TaskTracker::new(),
+        connections: TaskTracker::new(),
+        closing: CancellationToken::new(),
         is_draining: AtomicBool::new(false),
         settings,
     });
@@ -124,7 +129,14 @@
     let limit = Duration::from_millis(cx.settings.drain_timeout_ms);
     log::info!(in_flight = cx.requests.len(); "draining");
     cx.requests.close();
-    if tokio::time::timeout(limit, cx.requests.wait()).await.is_err() {
+    cx.connections.close();
+    let ended = async {
+        cx.requests.wait().await;
+        // The last bytes of an answer may still be in a connection's buffer.
+        cx.closing.cancel();
+        cx.connections.wait().await;
+    };
+    if tokio::time::timeout(limit, ended).await.is_err() {
         log::warn!(in_flight = cx.requests.len(); "stopping although requests are under way");
     } else {
         log::info!("drained");
--- a/savoryport/src/entry/server.rs
+++ b/savoryport/src/entry/server.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::IpAddr;
+use std::pin::pin;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -96,24 +97,33 @@
             continue;
         };
         let Some(counted) = Counted::try_new(&connections, peer.ip(), &cx) else { continue };
-        tokio::spawn(serve(stream, counted, cx.clone()));
+        cx.connections.spawn(serve(stream, counted, cx.clone()));
     }
 }
 
 async fn serve(stream: TcpStream, counted: Counted, cx: Arc<Context>) {
+    let closing = cx.closing.clone();
     let _ = stream.set_nodelay(true);
     let read_timeout = Duration::from_millis(cx.settings.read_timeout_ms);
     let service = service_fn(move |req| {
         let cx = cx.clone();
         async move { Ok::<_, Infallible>(handle(&cx, req).await) }
     });
-    // A connection that ends badly has told its caller all there was to tell.
-    let _ = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(read_timeout)
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    // A connection that ends badly has told its caller all there was to tell.
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = closing.cancelled() => {
+            // An answer that is written but not yet sent still leaves.
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
     drop(counted);
 }
 
