Send no order while a write of the ledger may still take effect

A write that settled an order got no answer; the steward read the old record, sent the order once more without an answer, and then the late write took effect: a ledger without trace of that last sending. Ruled out: the reach of strays (no restart in the trace) and the take-over (one holder throughout).

Change: after a write without an answer the record is written as it stands before anything is sent, which keeps the late write from taking effect.

Also: a watch whose connection breaks is an error.

--- /dev/null
+++ b/savoryport/tests/faults.rs
@@ -0,0 +1,324 @@
+//! Control, table and membership under failure, with real processes.
+
+mod site;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+use savoryport::cli::CliError;
+use savoryport::cli::table::{self, Options};
+use savoryport_core::ledger::ServerRecord;
+
+use site::{Site, TABLE, kill, read_stream, signal, tokens_of, wait_for};
+
+/// The users' bound for a change of the table.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(9);
+
+/// The users' bound for a server that leaves, "a few seconds".
+const LEAVING_WITHIN: Duration = Duration::from_secs(3);
+
+/// How long a lease takes to move: its time to live, and the wait of another failure domain.
+const TAKEN_OVER_WITHIN: Duration = Duration::from_secs(8);
+
+/// A table with one more model than the first.
+fn larger_table() -> String {
+    format!("{TABLE}model,extra,,5000,1,normal,8,1800,70,1,yes\n")
+}
+
+fn answers(site: &Site, at: usize, model: &str) -> bool {
+    site.complete(at, model, "hello", 1).is_ok_and(|answer| answer.status == 200)
+}
+
+fn started(site: &Site, engine: usize) -> u64 {
+    site.fleet.engines[engine].counts().started
+}
+
+#[test]
+fn requests_do_not_wait_for_control() {
+    let mut site = Site::start();
+    for node in &mut site.nodes {
+        kill(&mut node.control);
+    }
+    site.fleet.kv.set_faults(|faults| faults.down = true);
+    let streamed = read_stream(site.stream(0, "quick", "without control", 10));
+    assert_eq!(streamed.tokens, tokens_of("without control", 10));
+    assert!(
+        (0..3).all(|at| ["quick", "draft", "review", "shop"].iter().all(|m| answers(&site, at, m)))
+    );
+}
+
+#[test]
+fn a_holder_frozen_past_its_lease_is_replaced_and_overcommits_nothing() {
+    let site = Site::start();
+    for round in 0..2 {
+        let frozen = site.nodes[round].control.as_ref().unwrap();
+        signal(frozen, Signal::STOP);
+        // The change can only be carried out by a process that is awake.
+        let name = format!("extra-{round}");
+        let rows = format!("{TABLE}model,{name},,9000,1,normal,8,1800,70,2,yes\n");
+        site.apply(&rows, false).unwrap();
+        let is_loaded = || site.engines_with(&name).len() >= 2;
+        wait_for("another process to load the model", TAKEN_OVER_WITHIN * 2, is_loaded);
+        signal(frozen, Signal::CONT);
+    }
+    thread::sleep(Duration::from_millis(500));
+    site.assert_no_overcommitment();
+}
+
+#[test]
+fn every_control_process_replaced_one_after_another_loses_nothing() {
+    let mut site = Site::start();
+    for at in 0..3 {
+        kill(&mut site.nodes[at].control);
+        site.start_control(at);
+        thread::sleep(Duration::from_millis(300));
+    }
+    site.apply(&larger_table(), false).unwrap();
+    let is_loaded = || !site.engines_with("extra").is_empty();
+    wait_for("the new model", TAKEN_OVER_WITHIN * 2, is_loaded);
+    wait_for("it to answer", Duration::from_secs(3), || answers(&site, 2, "extra"));
+    site.assert_no_overcommitment();
+}
+
+#[test]
+fn orders_without_answers_are_repeated_and_overcommit_nothing() {
+    let site = Site::start();
+    for engine in &site.fleet.engines {
+        engine.set_faults(|faults| faults.lose_order_answers = 2);
+    }
+    site.fleet.kv.set_faults(|faults| faults.lose_write_answers = 3);
+    site.apply(&larger_table(), false).unwrap();
+    wait_for("the new model", TAKEN_OVER_WITHIN, || !site.engines_with("extra").is_empty());
+    site.assert_no_overcommitment();
+    // The ledger holds whatever an engine has in memory.
+    for (at, engine) in site.fleet.engines.iter().enumerate() {
+        let key = format!("savoryport/server/engine-{}", at + 1);
+        let holds_all = || {
+            let record = site.fleet.kv.value(&key).unwrap();
+            let record: ServerRecord = serde_json::from_slice(&record).unwrap();
+            engine.loaded().iter().all(|item| record.get(item).is_some())
+        };
+        wait_for("the ledger", Duration::from_secs(3), holds_all);
+    }
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_in_time() {
+    let site = Site::start();
+    let began = Instant::now();
+    site.apply(&larger_table(), false).unwrap();
+    let everywhere = || (0..3).all(|at| site.version_at(at) == 2);
+    wait_for("version 2 everywhere", IN_FORCE_WITHIN, everywhere);
+    println!("in force everywhere after {:?}", began.elapsed());
+}
+
+#[test]
+fn a_change_after_an_outage_is_in_force_in_time_and_nothing_went_back() {
+    let mut site = Site::start();
+    site.fleet.kv.set_faults(|faults| faults.down = true);
+    // Every VM but one is replaced while the service is away.
+    for at in 0..2 {
+        kill(&mut site.nodes[at].entry);
+        kill(&mut site.nodes[at].control);
+        site.start_control(at);
+        site.start_entry(at);
+        wait_for("the table of a peer", Duration::from_secs(8), || site.version_at(at) == 1);
+        site.wait_until_ready(at);
+    }
+    site.fleet.kv.set_faults(|faults| faults.down = false);
+    site.apply(&larger_table(), false).unwrap();
+    let everywhere = || {
+        let versions = [0, 1, 2].map(|at| site.version_at(at));
+        assert!(versions.iter().all(|version| *version >= 1), "{versions:?}");
+        versions == [2, 2, 2]
+    };
+    wait_for("version 2 everywhere", IN_FORCE_WITHIN, everywhere);
+}
+
+#[test]
+fn a_node_cut_off_from_the_service_follows_again_after_the_cut() {
+    let site = Site::start();
+    site.kv[2].set_faults(|faults| faults.refuse = true);
+    site.kv[2].cut();
+    assert!(answers(&site, 2, "quick"));
+    site.apply(&larger_table(), false).unwrap();
+    // Peers bring the table to the other side of the cut.
+    wait_for("version 2 beyond the cut", IN_FORCE_WITHIN, || site.version_at(2) == 2);
+    site.kv[2].set_faults(|faults| faults.refuse = false);
+    let third = format!("{}model,more,,5000,1,normal,8,1800,70,1,yes\n", larger_table());
+    site.apply(&third, false).unwrap();
+    wait_for("version 3 after the cut", IN_FORCE_WITHIN, || site.version_at(2) == 3);
+}
+
+#[test]
+fn a_service_whose_connections_fell_silent_is_asked_anew() {
+    let site = Site::start();
+    site.kv.iter().for_each(savoryport_standin::proxy::Proxy::silence_open);
+    site.apply(&larger_table(), false).unwrap();
+    let everywhere = || (0..3).all(|at| site.version_at(at) == 2);
+    wait_for("version 2 everywhere", IN_FORCE_WITHIN, everywhere);
+}
+
+#[test]
+fn of_two_operators_at_once_one_is_refused_and_told_the_rows() {
+    let site = Site::start();
+    let edit = |name: &str, weight: &str| {
+        let path = site.folder().join(format!("{name}.csv"));
+        table::get(&site.options(), Some(&path)).unwrap();
+        let text = std::fs::read_to_string(&path).unwrap();
+        std::fs::write(&path, text.replace("30000,2,urgent", weight)).unwrap();
+        path
+    };
+    let (first, second) = (edit("first", "30000,3,urgent"), edit("second", "30000,4,urgent"));
+    let options = site.options();
+    let results = thread::scope(|scope| {
+        let calls = [&first, &second].map(|path| scope.spawn(|| table::apply(&options, path)));
+        calls.map(|call| call.join().unwrap())
+    });
+    let accepted = results.iter().filter(|result| result.is_ok()).count();
+    assert_eq!(accepted, 1, "{results:?}");
+    let refused = results.iter().find_map(|result| result.as_ref().err()).unwrap();
+    assert!(matches!(refused, CliError::Refused(text) if text.contains("quick")), "{refused}");
+}
+
+#[test]
+fn operators_who_change_other_rows_may_merge() {
+    let site = Site::start();
+    let path = site.folder().join("mine.csv");
+    table::get(&site.options(), Some(&path)).unwrap();
+    site.apply(&larger_table(), false).unwrap();
+    let text = std::fs::read_to_string(&path).unwrap();
+    std::fs::write(&path, text.replace("30000,2,urgent", "30000,5,urgent")).unwrap();
+    let merged = table::apply(&Options { merge: true, ..site.options() }, &path).unwrap();
+    assert_eq!(merged, "accepted as version 3");
+    let now = table::get(&site.options(), None).unwrap();
+    assert!(now.contains("extra") && now.contains("30000,5,urgent"), "{now}");
+}
+
+#[test]
+fn a_change_whose_answers_are_lost_is_settled_and_counted_once() {
+    let site = Site::start();
+    site.fleet.kv.set_faults(|faults| faults.lose_write_answers = 1);
+    let accepted = site.apply(&larger_table(), false).unwrap();
+    assert_eq!(accepted, "accepted as version 2");
+    assert!(table::get(&site.options(), None).unwrap().contains("extra"));
+}
+
+#[test]
+fn a_table_that_the_fleet_cannot_hold_changes_nothing() {
+    let site = Site::start();
+    let huge = format!("{TABLE}model,huge,,70000,1,normal,8,1800,70,1,yes\n");
+    let refused = site.apply(&huge, false).unwrap_err();
+    assert!(
+        matches!(&refused, CliError::Refused(text) if text.contains("line 8, column memory_mib"))
+    );
+    assert!(!table::get(&site.options(), None).unwrap().contains("huge"));
+}
+
+#[test]
+fn a_server_that_says_it_drains_gets_no_new_work() {
+    let site = Site::start();
+    let draining = site.engines_with("quick")[0];
+    site.fleet.engines[draining].set_faults(|faults| faults.draining = true);
+    // One refusal tells each entry; the requests themselves go on elsewhere.
+    assert!((0..3).all(|at| answers(&site, at, "quick")));
+    let before = started(&site, draining);
+    for _ in 0..10 {
+        assert!((0..3).all(|at| answers(&site, at, "quick")));
+    }
+    assert_eq!(started(&site, draining), before);
+}
+
+#[test]
+fn a_server_that_is_to_leave_gets_no_new_work_in_time() {
+    for by_operator in [false, true] {
+        let site = Site::start();
+        let leaving = site.engines_with("quick")[0];
+        let name = format!("engine-{}", leaving + 1);
+        if by_operator {
+            let mut drain = std::process::Command::new(env!("CARGO_BIN_EXE_savoryport"));
+            drain.args(["--key-value", site.fleet.kv.address(), "drain", &name]);
+            assert!(drain.status().unwrap().success());
+        } else {
+            site.vms.change(|list| {
+                list.vms.iter_mut().for_each(|vm| vm.leaving |= *vm.name == *name);
+            });
+        }
+        thread::sleep(LEAVING_WITHIN);
+        let before = started(&site, leaving);
+        for _ in 0..10 {
+            for model in ["quick", "draft", "review", "shop"] {
+                assert!((0..3).all(|at| answers(&site, at, model)), "{model}");
+            }
+        }
+        assert_eq!(started(&site, leaving), before, "by operator: {by_operator}");
+    }
+}
+
+#[test]
+fn models_of_a_server_that_dies_answer_again() {
+    let site = Site::start();
+    let dead = site.engines_with("draft")[0];
+    site.engines[dead].set_faults(|faults| faults.refuse = true);
+    site.engines[dead].cut();
+    // Models with a second copy never stop.
+    assert!(answers(&site, 0, "quick"));
+    let all = || ["quick", "draft", "review", "shop"].iter().all(|model| answers(&site, 0, model));
+    wait_for("every model", Duration::from_secs(10), all);
+    site.assert_no_overcommitment();
+}
+
+#[test]
+fn an_engine_that_restarts_is_loaded_again() {
+    let site = Site::start();
+    let restarted = site.engines_with("review")[0];
+    site.fleet.engines[restarted].restart();
+    wait_for("the model to answer", Duration::from_secs(10), || answers(&site, 1, "review"));
+    site.assert_no_overcommitment();
+}
+
+#[test]
+fn a_lost_failure_domain_leaves_every_model_reachable() {
+    let mut site = Site::start();
+    for engine in [2, 3] {
+        site.engines[engine].set_faults(|faults| faults.refuse = true);
+        site.engines[engine].cut();
+    }
+    kill(&mut site.nodes[2].entry);
+    kill(&mut site.nodes[2].control);
+    let all = || ["quick", "draft", "review", "shop"].iter().all(|model| answers(&site, 0, model));
+    wait_for("every model", Duration::from_secs(20), all);
+    site.assert_no_overcommitment();
+}
+
+#[test]
+fn models_that_move_answer_all_the_time() {
+    let site = Site::start();
+    let weights = ["1", "9", "1"];
+    thread::scope(|scope| {
+        let watching = scope.spawn(|| {
+            let began = Instant::now();
+            let mut refused = Vec::new();
+            while began.elapsed() < Duration::from_secs(5) {
+                for model in ["quick", "draft", "review"] {
+                    match site.complete(0, model, "moving", 1) {
+                        Ok(answer) if answer.status == 200 => {}
+                        other => refused.push(format!("{model}: {other:?}")),
+                    }
+                }
+            }
+            refused
+        });
+        for (round, weight) in weights.iter().enumerate() {
+            // A larger model displaces extra copies; fewer copies free memory again.
+            let grown = format!("model,draft,,{},{weight},normal", 30_000 + 5_000 * round);
+            let table = TABLE.replace("model,draft,,30000,1,normal", &grown);
+            site.apply(&table, false).unwrap();
+            thread::sleep(Duration::from_millis(1_500));
+        }
+        let refused = watching.join().unwrap();
+        assert!(refused.is_empty(), "{refused:?}");
+    });
+    site.assert_no_overcommitment();
+}
--- a/savoryport_core/src/ledger/steward.rs
+++ b/savoryport_core/src/ledger/steward.rs
@@ -90,12 +90,22 @@
     /// Orders sent by this process, by fencing number, with the number of unanswered sendings.
     sent: BTreeMap<u64, u32>,
     refused: Option<u64>,
+    /// The revision from which a write without an answer was made; while it stands, that write may
+    /// still take effect.
+    doubtful_base: Option<u64>,
 }
 
 impl Steward {
     /// Starts without any knowledge of the server.
     pub fn new(me: HolderId) -> Self {
-        Self { me, cached: None, engine: None, sent: BTreeMap::new(), refused: None }
+        Self {
+            me,
+            cached: None,
+            engine: None,
+            sent: BTreeMap::new(),
+            refused: None,
+            doubtful_base: None,
+        }
     }
 
     /// Returns the record as last read or written.
@@ -128,10 +138,12 @@
 
     /// Takes the answer to a write.
     pub fn on_write(&mut self, record: ServerRecord, answer: WriteAnswer) {
-        self.cached = match answer {
-            WriteAnswer::Written(revision) => Some((record, revision)),
-            WriteAnswer::Conflict | WriteAnswer::Unknown => None,
-        };
+        let base = self.cached.take().map(|(_, revision)| revision);
+        match answer {
+            WriteAnswer::Written(revision) => self.cached = Some((record, revision)),
+            WriteAnswer::Conflict => {}
+            WriteAnswer::Unknown => self.doubtful_base = base,
+        }
     }
 
     /// Notes that an order leaves now.
@@ -161,6 +173,11 @@
     /// Decides the next step.
     pub fn next(&mut self, wishes: &Wishes<'_>) -> Step {
         let Some((record, revision)) = self.cached.clone() else { return Step::Read };
+        if self.doubtful_base == Some(revision) && wishes.may_act {
+            // Writing the record as it stands keeps the doubtful write from taking effect later,
+            // when it would no longer tell of what was sent meanwhile.
+            return Step::Write { record, revision };
+        }
         if let Some(record) = self.give_up_own_strays(&record) {
             return Step::Write { record, revision };
         }
--- a/savoryport_platform/src/kv.rs
+++ b/savoryport_platform/src/kv.rs
@@ -1,5 +1,6 @@
 //! The platform's key-value service, over the JSON form of the etcd v3 interface.
 
+use std::io::{BufRead, BufReader, ErrorKind};
 use std::time::Duration;
 
 use base64::Engine as _;
@@ -322,18 +323,13 @@
             "start_revision": (after + 1).to_string(),
         });
         let body = json!({ "create_request": create });
-        match self.watch_once(&body, wait + WATCH_GRACE) {
-            Err(KvError::Unanswered(_)) => Ok(Vec::new()),
-            other => other,
-        }
+        self.watch_once(&body, wait + WATCH_GRACE)
     }
 }
 
 impl EtcdClient {
     /// Reads the stream of a watch up to its first answer with events.
     fn watch_once(&self, body: &Value, timeout: Duration) -> Result<Vec<Event>, KvError> {
-        use std::io::BufRead;
-
         let url = format!("http://{}/v3/watch", self.address);
         let req = self.agent.post(url).config().timeout_global(Some(timeout)).build();
         let answer = req.send_json(body).map_err(|err| self.failed(&err))?;
@@ -342,8 +338,15 @@
             return Err(KvError::Refused(status));
         }
         let limited = answer.into_body().into_with_config().limit(MAX_ANSWER_BYTES).reader();
-        for line in std::io::BufReader::new(limited).lines() {
-            let line = line.map_err(|err| KvError::Unanswered(err.to_string()))?;
+        let mut was_created = false;
+        for line in BufReader::new(limited).lines() {
+            let line = match line {
+                Ok(line) => line,
+                // The service confirmed the watch, and nothing changed in time.
+                Err(err) if was_created && err.kind() == ErrorKind::TimedOut => break,
+                Err(err) => return Err(KvError::Unanswered(err.to_string())),
+            };
+            was_created = true;
             let answer: WatchAnswer =
                 serde_json::from_str(&line).map_err(|err| KvError::Malformed(err.to_string()))?;
             if !answer.result.events.is_empty() {
