--- a/savoryport_core/src/lib.rs
+++ b/savoryport_core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod attempt;
 pub mod chart;
 pub mod clock;
+pub mod demand;
 pub mod dispatch;
 pub mod fleet;
 pub mod grant;
