Keep requests out of the engines' own queues and measure shares over time

Ruled out: the placement (the same plans throughout a flood).

Change: a rank's share is also seen over the last ten seconds; slots that more urgent ranks used lately are kept free for them; an engine that lets a request wait for 60 ms is sent fewer; a request whose first token would be late is refused, not started.

--- a/savoryport/src/entry/completion.rs
+++ b/savoryport/src/entry/completion.rs
@@ -164,10 +164,11 @@
             prefix: prefix_hash(&self.completion.model, &self.completion.text()),
             avoid: self.avoid.clone(),
         };
-        let first_token = Duration::from_millis(self.row.first_token_ms.into());
         let between_tokens = Duration::from_millis(self.row.between_tokens_ms.into());
-        let targets = Sample::towards(first_token, between_tokens);
-        match self.cx.dispatcher.submit(req, targets).await {
+        let prefill = Duration::from_micros(self.cx.settings.prefill_per_token_us);
+        let unhindered = prefill * req.prompt_tokens + between_tokens;
+        let sample = Sample::under_way(unhindered, between_tokens);
+        match self.cx.dispatcher.submit(req, sample).await {
             Ok(in_flight) => {
                 self.fire(AttemptEvent::Start);
                 Ok(in_flight)
--- a/savoryport_core/src/dispatch/mod.rs
+++ b/savoryport_core/src/dispatch/mod.rs
@@ -179,10 +179,11 @@
             return vec![Action::Refuse { id: req.id, cause, retry_after: Duration::from_secs(1) }];
         }
         if let Some(at) = self.immediate_server(&req, &hosts, now) {
-            return vec![self.start(req, at)];
+            return vec![self.start(req, at, now)];
         }
         let wait = self.expected_wait(req.rank, &hosts);
         let slack = req.deadline.saturating_duration_since(now);
+        let wait = wait + self.shortest_first_token(&req, &hosts);
         if wait > slack {
             let retry_after = (wait - slack).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
             let cause = RefusalCause::WouldBeLate;
@@ -201,7 +202,7 @@
         now: Instant,
     ) -> Vec<Action> {
         let Some(&at) = self.by_name.get(server) else { return Vec::new() };
-        self.servers[at].finish(rank, sample);
+        self.servers[at].finish(rank, sample, now);
         self.pump(at, now)
     }
 
@@ -214,10 +215,7 @@
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         let mut actions: Vec<Action> = Vec::new();
         for req in self.queues.take_expired(now) {
-            let hosts = self.usable_hosts(&req, now);
-            let wait = self.expected_wait(req.rank, &hosts);
-            let retry_after = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-            actions.push(Action::Refuse { id: req.id, cause: RefusalCause::Expired, retry_after });
+            actions.push(self.refuse_expired(&req, now));
         }
         for at in 0..self.servers.len() {
             actions.extend(self.pump(at, now));
@@ -261,9 +259,9 @@
         routing::choose(&self.cfg, &self.servers, &self.prefixes, req, &open, now)
     }
 
-    fn start(&mut self, req: Request, at: usize) -> Action {
+    fn start(&mut self, req: Request, at: usize, now: Instant) -> Action {
         self.prefixes.note(req.prefix, at);
-        self.servers[at].start(req.rank);
+        self.servers[at].start(req.rank, now);
         Action::Start { id: req.id, server: self.servers[at].info.name.clone() }
     }
 
@@ -274,11 +272,35 @@
             let claims = self.queues.claims(at);
             let Some(rank) = self.servers[at].next_rank(claims, &self.cfg.shares) else { break };
             let Some(req) = self.queues.pop(rank, at) else { break };
-            actions.push(self.start(req, at));
+            if self.is_hopeless(&req, at, now) {
+                actions.push(self.refuse_expired(&req, now));
+            } else {
+                actions.push(self.start(req, at, now));
+            }
         }
         actions
     }
 
+    /// A first token that comes too late even if the engine starts now is not worth a slot.
+    fn is_hopeless(&self, req: &Request, at: usize, now: Instant) -> bool {
+        now + self.shortest_first_token(req, &[at]) > req.deadline
+    }
+
+    /// Returns what the first token takes on an idle engine.
+    fn shortest_first_token(&self, req: &Request, hosts: &[usize]) -> Duration {
+        let shortest = hosts
+            .iter()
+            .map(|at| routing::unhindered(&self.cfg, &self.servers[*at], &self.prefixes, req, *at));
+        shortest.min().unwrap_or_default()
+    }
+
+    fn refuse_expired(&self, req: &Request, now: Instant) -> Action {
+        let hosts = self.usable_hosts(req, now);
+        let wait = self.expected_wait(req.rank, &hosts);
+        let retry_after = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        Action::Refuse { id: req.id, cause: RefusalCause::Expired, retry_after }
+    }
+
     /// Estimates how long a new request of a rank would wait for one of the servers.
     fn expected_wait(&self, rank: Rank, hosts: &[usize]) -> Duration {
         let (mut ahead, mut drain) = (1.0, 0.0);
--- a/savoryport_core/src/dispatch/routing.rs
+++ b/savoryport_core/src/dispatch/routing.rs
@@ -41,11 +41,9 @@
     open: &[usize],
     now: Instant,
 ) -> Option<usize> {
-    let cached_at = prefixes.get(req.prefix);
     let expected = |at: usize| {
         let server = &servers[at];
-        let prefill = prefill_time(cfg, req, cached_at == Some(at));
-        server.expected_first_token(now) + prefill + distance(cfg, server)
+        server.expected_first_token(now) + unhindered(cfg, server, prefixes, req, at)
     };
     let is_local = |at: &&usize| servers[**at].info.region == cfg.region;
     let local = open.iter().filter(is_local).copied().min_by_key(|at| expected(*at));
@@ -57,6 +55,18 @@
     }
 }
 
+/// Returns what the first token takes on a server that is idle.
+pub(super) fn unhindered(
+    cfg: &DispatchConfig,
+    server: &ServerView,
+    prefixes: &PrefixMap,
+    req: &Request,
+    at: usize,
+) -> Duration {
+    let is_cached = prefixes.get(req.prefix) == Some(at);
+    prefill_time(cfg, req, is_cached) + distance(cfg, server)
+}
+
 fn prefill_time(cfg: &DispatchConfig, req: &Request, is_cached: bool) -> Duration {
     let share = if is_cached { 1.0 - CACHED_SHARE } else { 1.0 };
     cfg.prefill_per_token.mul_f64(f64::from(req.prompt_tokens) * share)
--- a/savoryport_core/src/dispatch/server.rs
+++ b/savoryport_core/src/dispatch/server.rs
@@ -11,11 +11,14 @@
 /// The weight of a new sample in the moving averages.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
-/// The share of the limit by which urgent requests may exceed it, since engines honour priority.
-const URGENT_HEADROOM: f64 = 0.25;
+/// The time constant of what is remembered of the ranks' use of a server.
+const USAGE_MEMORY: Duration = Duration::from_secs(10);
 
-/// The share of a first-token target that the engine itself may use before it counts as slow.
-const ENGINE_SHARE_OF_TARGET: f64 = 0.6;
+/// Standard deviations of a more urgent rank's use that are kept free for it.
+const RESERVE_DEVIATIONS: f64 = 1.5;
+
+/// The wait in an engine's own queue from which the engine counts as crowded.
+const ENGINE_WAIT: Duration = Duration::from_millis(60);
 
 /// How long a report of load is believed.
 const REPORT_LIFETIME: Duration = Duration::from_secs(10);
@@ -38,8 +41,8 @@
 pub struct Sample {
     /// From the hand-over to the first token.
     pub first_token: Option<Duration>,
-    /// The target for that.
-    pub first_token_target: Duration,
+    /// What that takes on an idle engine without a cached prefix, the way there and back included.
+    pub unhindered: Duration,
     /// The mean time between tokens.
     pub between_tokens: Option<Duration>,
     /// The target for that.
@@ -64,14 +67,14 @@
 impl Sample {
     /// A slot that was given back before anything was sent: it tells nothing about the server.
     pub fn unused() -> Self {
-        Self::towards(Duration::MAX, Duration::MAX)
+        Self::under_way(Duration::MAX, Duration::MAX)
     }
 
-    /// A request that is under way towards its targets.
-    pub fn towards(first_token_target: Duration, between_tokens_target: Duration) -> Self {
+    /// A request that is under way.
+    pub fn under_way(unhindered: Duration, between_tokens_target: Duration) -> Self {
         Self {
             first_token: None,
-            first_token_target,
+            unhindered,
             between_tokens: None,
             between_tokens_target,
             total: Duration::ZERO,
@@ -89,9 +92,43 @@
     in_flight: [u32; 3],
     first_token_seconds: f64,
     total_seconds: [f64; 3],
+    usage: Usage,
     reported: Option<Report>,
 }
 
+/// How much of the server each rank has used lately, in slot seconds, fading with time.
+#[derive(Debug)]
+struct Usage {
+    slot_seconds: [f64; 3],
+    faded_at: Option<Instant>,
+}
+
+impl Usage {
+    fn new() -> Self {
+        Self { slot_seconds: [0.0; 3], faded_at: None }
+    }
+
+    /// Adds the time since the last change, and fades what lies further back.
+    fn advance(&mut self, in_flight: [u32; 3], now: Instant) {
+        let last = self.faded_at.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_duration_since(last).as_secs_f64();
+        let kept = (-elapsed / USAGE_MEMORY.as_secs_f64()).exp();
+        for (used, count) in self.slot_seconds.iter_mut().zip(in_flight) {
+            *used = *used * kept + f64::from(count) * elapsed;
+        }
+    }
+
+    /// Returns the mean number of slots that a rank has used lately.
+    fn mean(&self, rank: Rank) -> f64 {
+        self.slot_seconds[rank.index()] / USAGE_MEMORY.as_secs_f64()
+    }
+
+    fn share(&self, rank: Rank) -> f64 {
+        let total: f64 = self.slot_seconds.iter().sum();
+        if total > 0.0 { self.slot_seconds[rank.index()] / total } else { 0.0 }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Report {
     waiting: u32,
@@ -109,6 +146,7 @@
             in_flight: [0; 3],
             first_token_seconds: 0.1,
             total_seconds: [0.5; 3],
+            usage: Usage::new(),
             reported: None,
         }
     }
@@ -130,7 +168,8 @@
         self.in_flight.iter().sum()
     }
 
-    pub(super) fn start(&mut self, rank: Rank) {
+    pub(super) fn start(&mut self, rank: Rank, now: Instant) {
+        self.usage.advance(self.in_flight, now);
         self.in_flight[rank.index()] += 1;
     }
 
@@ -138,7 +177,8 @@
         self.reported = Some(Report { waiting, running, at: now });
     }
 
-    pub(super) fn finish(&mut self, rank: Rank, sample: &Sample) {
+    pub(super) fn finish(&mut self, rank: Rank, sample: &Sample, now: Instant) {
+        self.usage.advance(self.in_flight, now);
         let in_use = f64::from(self.total()) >= self.limit.value() * 0.8;
         self.in_flight[rank.index()] = self.in_flight[rank.index()].saturating_sub(1);
         if let Some(first_token) = sample.first_token {
@@ -152,15 +192,25 @@
         }
     }
 
-    /// Returns the limit that holds for a rank.
-    fn limit_for(&self, rank: Rank) -> f64 {
-        let headroom = if rank == Rank::Urgent { URGENT_HEADROOM } else { 0.0 };
-        self.limit.value() * (1.0 + headroom)
+    /// Returns the slots kept free for ranks more urgent than `rank`: what they used lately, with
+    /// room for its fluctuation, less what they use now.
+    fn reserve(&self, rank: Rank) -> f64 {
+        let more_urgent = Rank::ALL.into_iter().take_while(|other| *other < rank);
+        let free_for = |other: Rank| {
+            let mean = self.usage.mean(other);
+            let target = mean + RESERVE_DEVIATIONS * mean.sqrt();
+            (target - f64::from(self.in_flight[other.index()])).max(0.0)
+        };
+        more_urgent.map(free_for).sum()
     }
 
+    /// A rank is below its guarantee where it uses less now, or has used less lately: with few
+    /// slots, a share below one of them is only seen over time.
     fn is_under_guarantee(&self, rank: Rank, shares: &[f64; 3]) -> bool {
-        let guaranteed = (shares[rank.index()] * self.limit.value()).max(1.0);
-        f64::from(self.in_flight[rank.index()]) < guaranteed
+        let guaranteed = shares[rank.index()] * self.limit.value();
+        let in_flight = f64::from(self.in_flight[rank.index()]);
+        in_flight + 1.0 <= guaranteed
+            || (in_flight < guaranteed.max(1.0) && self.usage.share(rank) < shares[rank.index()])
     }
 
     /// Returns whether a request of a rank may start although others wait, given by rank.
@@ -173,11 +223,15 @@
     /// Returns the rank whose turn it is: first those below their guaranteed share, the most
     /// urgent first; then what is unused is lent, again the most urgent first.
     pub(super) fn next_rank(&self, waiting: [u32; 3], shares: &[f64; 3]) -> Option<Rank> {
-        let total = f64::from(self.total());
-        let wants = |rank: &Rank| waiting[rank.index()] > 0 && total < self.limit_for(*rank);
-        let guaranteed = |rank: &Rank| wants(rank) && self.is_under_guarantee(*rank, shares);
+        let free = self.limit.value() - f64::from(self.total());
+        if free <= 0.0 {
+            return None;
+        }
+        let waits = |rank: &Rank| waiting[rank.index()] > 0;
+        let guaranteed = |rank: &Rank| waits(rank) && self.is_under_guarantee(*rank, shares);
+        let lent = |rank: &Rank| waits(rank) && free > self.reserve(*rank);
         let ranks = || Rank::ALL.into_iter();
-        ranks().find(guaranteed).or_else(|| ranks().find(wants))
+        ranks().find(guaranteed).or_else(|| ranks().find(lent))
     }
 
     /// Estimates the time to the first token of a request started now.
@@ -199,7 +253,7 @@
 
     /// Estimates how many waiting requests of a rank the server starts each second.
     pub(super) fn drain_rate(&self, rank: Rank, shares: &[f64; 3]) -> f64 {
-        let limit = self.limit_for(rank);
+        let limit = self.limit.value();
         let own = f64::from(self.in_flight[rank.index()]);
         let others = f64::from(self.total()) - own;
         let slots = (limit - others).max(shares[rank.index()] * limit).max(own).max(0.5);
@@ -211,10 +265,12 @@
     *average += (sample.as_secs_f64() - *average) * SAMPLE_WEIGHT;
 }
 
+/// Requests should wait at the entry, where rank decides: an engine with a queue of its own has been
+/// sent too many.
 fn is_slow(sample: &Sample) -> bool {
-    let allowed = sample.first_token_target.as_secs_f64() * ENGINE_SHARE_OF_TARGET;
-    let is_late = sample.first_token.is_some_and(|first_token| first_token.as_secs_f64() > allowed);
+    let allowed = sample.unhindered.saturating_add(ENGINE_WAIT);
+    let has_waited = sample.first_token.is_some_and(|first_token| first_token > allowed);
     let is_dragging =
         sample.between_tokens.is_some_and(|between| between > sample.between_tokens_target);
-    sample.end == End::Failed || is_late || is_dragging
+    sample.end == End::Failed || has_waited || is_dragging
 }
