Shrink limits with the engine's delay and admit by the next free slot

Cause: in the urgent flood the engines were always full (16 of 16 in the batch), but the limits of all entries on one added up to 64 at its start and took 30 s to fall to 17, and requests were started whose first token was due before the engine's usual delay. A rank below its share was refused although every freed slot was its own: the estimate of its wait gave it a fixed part of the slots.

Change: a limit shrinks by the ratio of allowed to needed time, at most by half; the wait of a rank counts the next free slot of any rank; a first token counts the server's usual delay.

--- a/savoryport_core/src/dispatch/limit.rs
+++ b/savoryport_core/src/dispatch/limit.rs
@@ -12,7 +12,8 @@
 }
 
 impl Limit {
-    const DECREASE: f64 = 0.85;
+    /// The least and the most that one decrease leaves, as a share.
+    const DECREASE: (f64, f64) = (0.5, 0.9);
     const MIN: f64 = 1.0;
 
     /// Starts at a value.
@@ -25,20 +26,22 @@
         self.value
     }
 
-    /// Takes one finished request: whether the server was slow, and whether the limit was in use.
-    pub fn on_sample(&mut self, was_slow: bool, in_use: bool) {
+    /// Takes one finished request: `pace` is 1 for a server that kept up, and the share of the
+    /// allowed to the needed time for one that did not; `in_use` tells whether the limit was.
+    pub fn on_sample(&mut self, pace: f64, in_use: bool) {
         self.since_decrease += 1.0;
-        if was_slow {
-            self.decrease();
+        if pace < 1.0 {
+            self.decrease(pace);
         } else if in_use {
             self.value = (self.value + 1.0 / self.value).min(self.max);
         }
     }
 
     /// Decreases once for each limit's worth of samples: those under way were sent before.
-    fn decrease(&mut self) {
+    fn decrease(&mut self, pace: f64) {
         if self.since_decrease >= self.value {
-            self.value = (self.value * Self::DECREASE).max(Self::MIN);
+            let (least, most) = Self::DECREASE;
+            self.value = (self.value * pace.clamp(least, most)).max(Self::MIN);
             self.since_decrease = 0.0;
         }
     }
--- a/savoryport_core/src/dispatch/mod.rs
+++ b/savoryport_core/src/dispatch/mod.rs
@@ -286,11 +286,14 @@
         now + self.shortest_first_token(req, &[at]) > req.deadline
     }
 
-    /// Returns what the first token takes on an idle engine.
+    /// Returns what the first token takes on the best of the servers: what they usually take, and
+    /// no less than an idle one would.
     fn shortest_first_token(&self, req: &Request, hosts: &[usize]) -> Duration {
-        let shortest = hosts
-            .iter()
-            .map(|at| routing::unhindered(&self.cfg, &self.servers[*at], &self.prefixes, req, *at));
+        let shortest = hosts.iter().map(|at| {
+            let server = &self.servers[*at];
+            let idle = routing::unhindered(&self.cfg, server, &self.prefixes, req, *at);
+            idle.max(server.usual_first_token())
+        });
         shortest.min().unwrap_or_default()
     }
 
@@ -303,16 +306,19 @@
 
     /// Estimates how long a new request of a rank would wait for one of the servers.
     fn expected_wait(&self, rank: Rank, hosts: &[usize]) -> Duration {
-        let (mut ahead, mut drain) = (1.0, 0.0);
+        let (mut ahead, mut drained, mut released) = (0.0, 0.0, 0.0);
         for &at in hosts {
             let server = &self.servers[at];
             let waiting = self.queues.claims(at)[rank.index()];
             ahead += f64::from(waiting) / hosts.len() as f64;
-            drain += server.drain_rate(rank, &self.cfg.shares);
+            drained += server.drain_rate(rank, &self.cfg.shares);
+            released += server.release_rate();
         }
-        if drain <= 0.0 {
+        if drained <= 0.0 || released <= 0.0 {
             return MAX_RETRY_AFTER;
         }
-        Duration::from_secs_f64((ahead / drain).min(MAX_RETRY_AFTER.as_secs_f64()))
+        // The next slot of any rank may be its own; those ahead take what the rank gets for long.
+        let seconds = 1.0 / released + ahead / drained;
+        Duration::from_secs_f64(seconds.min(MAX_RETRY_AFTER.as_secs_f64()))
     }
 }
--- a/savoryport_core/src/dispatch/server.rs
+++ b/savoryport_core/src/dispatch/server.rs
@@ -188,7 +188,7 @@
             blend(&mut self.total_seconds[rank.index()], sample.total);
         }
         if sample.end != End::Unused {
-            self.limit.on_sample(is_slow(sample), in_use);
+            self.limit.on_sample(pace(sample), in_use);
         }
     }
 
@@ -251,7 +251,15 @@
         (reported - own).max(0.0) * belief
     }
 
-    /// Estimates how many waiting requests of a rank the server starts each second.
+    /// Estimates how many slots come free each second.
+    pub(super) fn release_rate(&self) -> f64 {
+        let free = (self.limit.value() - f64::from(self.total())).max(0.0);
+        let ended = self.in_flight.iter().zip(self.total_seconds);
+        let ending: f64 = ended.map(|(count, seconds)| f64::from(*count) / seconds.max(1e-3)).sum();
+        ending + free
+    }
+
+    /// Estimates how many waiting requests of a rank the server starts each second for long.
     pub(super) fn drain_rate(&self, rank: Rank, shares: &[f64; 3]) -> f64 {
         let limit = self.limit.value();
         let own = f64::from(self.in_flight[rank.index()]);
@@ -259,18 +267,32 @@
         let slots = (limit - others).max(shares[rank.index()] * limit).max(own).max(0.5);
         slots / self.total_seconds[rank.index()].max(1e-3)
     }
+
+    /// Estimates the time from the hand-over to the first token, as lately seen.
+    pub(super) fn usual_first_token(&self) -> Duration {
+        Duration::from_secs_f64(self.first_token_seconds)
+    }
 }
 
 fn blend(average: &mut f64, sample: Duration) {
     *average += (sample.as_secs_f64() - *average) * SAMPLE_WEIGHT;
 }
 
+/// Returns 1 for a server that kept up, and less the slower it was.
+///
 /// Requests should wait at the entry, where rank decides: an engine with a queue of its own has been
 /// sent too many.
-fn is_slow(sample: &Sample) -> bool {
+fn pace(sample: &Sample) -> f64 {
+    if sample.end == End::Failed {
+        return 0.0;
+    }
     let allowed = sample.unhindered.saturating_add(ENGINE_WAIT);
-    let has_waited = sample.first_token.is_some_and(|first_token| first_token > allowed);
-    let is_dragging =
-        sample.between_tokens.is_some_and(|between| between > sample.between_tokens_target);
-    sample.end == End::Failed || has_waited || is_dragging
+    let first_token = sample.first_token.map_or(1.0, |needed| ratio(allowed, needed));
+    let target = sample.between_tokens_target;
+    let between_tokens = sample.between_tokens.map_or(1.0, |needed| ratio(target, needed));
+    first_token.min(between_tokens)
+}
+
+fn ratio(allowed: Duration, needed: Duration) -> f64 {
+    if needed <= allowed { 1.0 } else { allowed.as_secs_f64() / needed.as_secs_f64() }
 }
