Send the callers of one server's models to the same few entries

Cause: each item's callers went to two entries of their own, so that all entries shared every server with limits of one or two slots each, too coarse for shares.

Change: the entries are chosen by the home server of the model that is asked for.

--- a/savoryport/src/entry/address.rs
+++ b/savoryport/src/entry/address.rs
@@ -59,7 +59,8 @@
             || (is_self && cx.is_draining())
     };
     let live: Vec<&Vm> = fleet.vms.entries().filter(|vm| !is_draining(vm)).collect();
-    let chosen = choose_entries(item, &cx.settings.region, &live);
+    let home = fleet.plan.home_of(item, &fleet.table).map_or(item, |home| home);
+    let chosen = choose_entries(home, &cx.settings.region, &live);
     if chosen.is_empty() {
         return vec![cx.settings.entry_listen.clone()];
     }
--- a/savoryport_bench/src/policy/sim.rs
+++ b/savoryport_bench/src/policy/sim.rs
@@ -271,7 +271,8 @@
         let row = self.items[req.item];
         let region = self.caller_region(req);
         let live: Vec<&savoryport_core::fleet::Vm> = self.deployment.entries.iter().collect();
-        let chosen = choose_entries(&row.name, &region, &live);
+        let home = self.plan.home_of(&row.name, &self.deployment.table).unwrap_or(&row.name);
+        let chosen = choose_entries(home, &region, &live);
         let chosen = chosen[(req.draw * chosen.len() as f64) as usize].name.clone();
         let entry = self.deployment.entries.iter().position(|vm| vm.name == chosen).unwrap_or(0);
         self.progress[request].entry = entry;
