Measure a server's delay against its prompt and its distance

Cause: over a saturated link every first token looked slow, so the limits of servers in the other region fell to one and requests were refused. Ruled out: the queues (empty).

Change: a sample carries the prompt's length; the dispatcher itself works out the time on an idle engine, the round trip to another region included. A rank's lasting rate counts what it used lately.

--- a/savoryport/src/entry/completion.rs
+++ b/savoryport/src/entry/completion.rs
@@ -165,9 +165,7 @@
             avoid: self.avoid.clone(),
         };
         let between_tokens = Duration::from_millis(self.row.between_tokens_ms.into());
-        let prefill = Duration::from_micros(self.cx.settings.prefill_per_token_us);
-        let unhindered = prefill * req.prompt_tokens + between_tokens;
-        let sample = Sample::under_way(unhindered, between_tokens);
+        let sample = Sample::under_way(req.prompt_tokens, between_tokens);
         match self.cx.dispatcher.submit(req, sample).await {
             Ok(in_flight) => {
                 self.fire(AttemptEvent::Start);
--- a/savoryport/src/entry/service.rs
+++ b/savoryport/src/entry/service.rs
@@ -232,7 +232,7 @@
             prefix: prefix_hash(&self.row.name, &self.request_id),
             avoid: self.avoid.clone(),
         };
-        let targets = Sample::under_way(Duration::MAX, Duration::MAX);
+        let targets = Sample::under_way(0, Duration::MAX);
         match self.cx.dispatcher.submit(req, targets).await {
             Ok(in_flight) => {
                 self.fire(AttemptEvent::Start);
--- a/savoryport_bench/src/policy/sim.rs
+++ b/savoryport_bench/src/policy/sim.rs
@@ -39,9 +39,6 @@
 /// Seconds one way between regions.
 const REGION_DELAY: f64 = 0.020;
 
-/// Seconds for one token, which an idle engine needs too.
-const TOKEN_ALLOWANCE: f64 = 0.045;
-
 /// The most copies that one plan displaces.
 const MOVE_BUDGET: usize = 2;
 
@@ -423,7 +420,7 @@
         let sample = Sample {
             first_token: (end == End::Whole)
                 .then(|| seconds((progress.first_token_at - progress.handed_at).max(0.0))),
-            unhindered: seconds(prefill_time(req.prompt, false) + TOKEN_ALLOWANCE),
+            prompt_tokens: req.prompt,
             between_tokens: (end == End::Whole).then(|| seconds(progress.between_tokens)),
             between_tokens_target: Duration::from_millis(row.between_tokens_ms.into()),
             total: seconds((self.now - progress.handed_at).max(0.0)),
--- a/savoryport_core/src/dispatch/mod.rs
+++ b/savoryport_core/src/dispatch/mod.rs
@@ -202,7 +202,9 @@
         now: Instant,
     ) -> Vec<Action> {
         let Some(&at) = self.by_name.get(server) else { return Vec::new() };
-        self.servers[at].finish(rank, sample, now);
+        let token = sample.between_tokens.unwrap_or_default();
+        let idle = routing::idle_first_token(&self.cfg, &self.servers[at], sample.prompt_tokens);
+        self.servers[at].finish(rank, sample, idle.saturating_add(token), now);
         self.pump(at, now)
     }
 
--- a/savoryport_core/src/dispatch/routing.rs
+++ b/savoryport_core/src/dispatch/routing.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// Returns what the first token takes on a server that is idle.
+/// Returns what the first token takes on a server that is idle, with the prefix that it has cached.
 pub(super) fn unhindered(
     cfg: &DispatchConfig,
     server: &ServerView,
@@ -64,12 +64,17 @@
     at: usize,
 ) -> Duration {
     let is_cached = prefixes.get(req.prefix) == Some(at);
-    prefill_time(cfg, req, is_cached) + distance(cfg, server)
+    let share = if is_cached { 1.0 - CACHED_SHARE } else { 1.0 };
+    idle_first_token(cfg, server, (f64::from(req.prompt_tokens) * share) as u32)
 }
 
-fn prefill_time(cfg: &DispatchConfig, req: &Request, is_cached: bool) -> Duration {
-    let share = if is_cached { 1.0 - CACHED_SHARE } else { 1.0 };
-    cfg.prefill_per_token.mul_f64(f64::from(req.prompt_tokens) * share)
+/// Returns what the first token takes on a server that is idle and has nothing cached.
+pub(super) fn idle_first_token(
+    cfg: &DispatchConfig,
+    server: &ServerView,
+    prompt_tokens: u32,
+) -> Duration {
+    cfg.prefill_per_token * prompt_tokens + distance(cfg, server)
 }
 
 fn distance(cfg: &DispatchConfig, server: &ServerView) -> Duration {
--- a/savoryport_core/src/dispatch/server.rs
+++ b/savoryport_core/src/dispatch/server.rs
@@ -41,8 +41,8 @@
 pub struct Sample {
     /// From the hand-over to the first token.
     pub first_token: Option<Duration>,
-    /// What that takes on an idle engine without a cached prefix, the way there and back included.
-    pub unhindered: Duration,
+    /// Tokens of the prompt, by which the time on an idle engine is known.
+    pub prompt_tokens: u32,
     /// The mean time between tokens.
     pub between_tokens: Option<Duration>,
     /// The target for that.
@@ -67,14 +67,14 @@
 impl Sample {
     /// A slot that was given back before anything was sent: it tells nothing about the server.
     pub fn unused() -> Self {
-        Self::under_way(Duration::MAX, Duration::MAX)
+        Self::under_way(0, Duration::MAX)
     }
 
     /// A request that is under way.
-    pub fn under_way(unhindered: Duration, between_tokens_target: Duration) -> Self {
+    pub fn under_way(prompt_tokens: u32, between_tokens_target: Duration) -> Self {
         Self {
             first_token: None,
-            unhindered,
+            prompt_tokens,
             between_tokens: None,
             between_tokens_target,
             total: Duration::ZERO,
@@ -177,7 +177,8 @@
         self.reported = Some(Report { waiting, running, at: now });
     }
 
-    pub(super) fn finish(&mut self, rank: Rank, sample: &Sample, now: Instant) {
+    /// Takes the end of a request; `idle` is the time to its first token on an idle engine.
+    pub(super) fn finish(&mut self, rank: Rank, sample: &Sample, idle: Duration, now: Instant) {
         self.usage.advance(self.in_flight, now);
         let in_use = f64::from(self.total()) >= self.limit.value() * 0.8;
         self.in_flight[rank.index()] = self.in_flight[rank.index()].saturating_sub(1);
@@ -188,7 +189,7 @@
             blend(&mut self.total_seconds[rank.index()], sample.total);
         }
         if sample.end != End::Unused {
-            self.limit.on_sample(pace(sample), in_use);
+            self.limit.on_sample(pace(sample, idle), in_use);
         }
     }
 
@@ -264,7 +265,9 @@
         let limit = self.limit.value();
         let own = f64::from(self.in_flight[rank.index()]);
         let others = f64::from(self.total()) - own;
-        let slots = (limit - others).max(shares[rank.index()] * limit).max(own).max(0.5);
+        let used = self.usage.mean(rank);
+        let guaranteed = shares[rank.index()] * limit;
+        let slots = (limit - others).max(guaranteed).max(used).max(0.5);
         slots / self.total_seconds[rank.index()].max(1e-3)
     }
 
@@ -282,11 +285,11 @@
 ///
 /// Requests should wait at the entry, where rank decides: an engine with a queue of its own has been
 /// sent too many.
-fn pace(sample: &Sample) -> f64 {
+fn pace(sample: &Sample, idle: Duration) -> f64 {
     if sample.end == End::Failed {
         return 0.0;
     }
-    let allowed = sample.unhindered.saturating_add(ENGINE_WAIT);
+    let allowed = idle.saturating_add(ENGINE_WAIT);
     let first_token = sample.first_token.map_or(1.0, |needed| ratio(allowed, needed));
     let target = sample.between_tokens_target;
     let between_tokens = sample.between_tokens.map_or(1.0, |needed| ratio(target, needed));
