--- a/savoryport/src/control/hub.rs
+++ b/savoryport/src/control/hub.rs
@@ -14,7 +14,7 @@
 /// How long the demand of a follower counts after it was last told.
 const DEMAND_LIFETIME: Duration = Duration::from_secs(15);
 
-/// What a follower told: when, and requests a second by model.
+/// What a follower told: when, and the demand in slots by model.
 type Told = (Instant, Vec<(Name, f64)>);
 
 /// The way to the task.
--- a/savoryport/src/control/planner.rs
+++ b/savoryport/src/control/planner.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use savoryport_core::Name;
+use savoryport_core::demand::DemandEstimator;
 use savoryport_core::fleet::Vm;
 use savoryport_core::placement::{PlacementInput, Plan, PlannedServer, plan};
 use savoryport_core::replica::{Replica, Update};
@@ -18,21 +19,23 @@
 /// Runs until it is cancelled.
 pub(super) async fn run(cx: Context, held: HeldReceiver) {
     let period = Duration::from_millis(cx.settings.plan_period_ms);
+    let mut estimator = DemandEstimator::default();
     loop {
         let may_act = held.borrow().may_act(keys::PLANNER_GROUP, cx.clock.now());
-        if may_act && let Err(err) = make_plan(&cx).await {
+        if may_act && let Err(err) = make_plan(&cx, &mut estimator).await {
             log::debug!(err:%; "no plan made");
         }
         tokio::time::sleep(period).await;
     }
 }
 
-async fn make_plan(cx: &Context) -> Result<(), KvError> {
+async fn make_plan(cx: &Context, estimator: &mut DemandEstimator) -> Result<(), KvError> {
     let replica = cx.hub.replica();
     if replica.table.version == 0 {
         return Ok(());
     }
-    let demand: HashMap<Name, f64> = read_demand(cx).await?.into_iter().collect();
+    let observed: HashMap<Name, f64> = read_demand(cx).await?.into_iter().collect();
+    let demand = estimator.observe(&observed, cx.clock.now());
     let (current, revision) = read_plan(cx).await?;
     let servers = planned_servers(&replica);
     let move_budget = cx.settings.move_budget;
--- a/savoryport/src/entry/dispatcher.rs
+++ b/savoryport/src/entry/dispatcher.rs
@@ -226,6 +226,7 @@
             Message::Finish(server, rank, sample) => {
                 if sample.end == End::Whole {
                     self.budget.on_success();
+                    self.demand.note_length(rank, sample.total);
                 }
                 let actions = self.dispatch.finish(&server, rank, &sample, now);
                 self.carry_out(actions);
@@ -241,7 +242,7 @@
     fn on_submit(&mut self, req: Request, tx: oneshot::Sender<Verdict>, now: Instant) {
         let table = self.fleet.borrow().table.clone();
         if let Some(row) = table.get(&req.item) {
-            self.demand.note(row.base.as_ref().unwrap_or(&row.name));
+            self.demand.note_arrival(row.base.as_ref().unwrap_or(&row.name), req.rank);
         }
         self.waiting.insert(req.id, (req.rank, tx));
         let actions = self.dispatch.submit(req, now);
--- a/savoryport/src/entry/fleet.rs
+++ b/savoryport/src/entry/fleet.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use savoryport_core::Name;
+use savoryport_core::rank::Rank;
 use savoryport_core::replica::Replica;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -22,24 +23,44 @@
 /// The weight of the latest interval in the rates.
 const RATE_WEIGHT: f64 = 0.3;
 
-/// Rates below this are forgotten, in requests a second.
+/// The weight of the latest request in the usual lengths.
+const LENGTH_WEIGHT: f64 = 0.05;
+
+/// Rates below this are forgotten, in slots.
 const MIN_RATE: f64 = 1e-3;
 
-/// Requests by model since they were last told.
+/// The demand for models since it was last told, in seconds of a server's slot.
+///
+/// A refused request has no length of its own; it counts for what requests of its rank usually take,
+/// so that a model without enough copies is not taken for one that nobody asks for.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Demand {
-    counts: Arc<Mutex<HashMap<Name, u32>>>,
+    state: Arc<Mutex<DemandState>>,
+}
+
+#[derive(Debug, Default)]
+struct DemandState {
+    slot_seconds: HashMap<Name, f64>,
+    usual_seconds: [f64; 3],
 }
 
 impl Demand {
-    /// Counts a request.
-    pub(super) fn note(&self, model: &Name) {
-        let mut counts = self.counts.lock().expect("no holder panics");
-        *counts.entry(model.clone()).or_default() += 1;
+    /// Counts a request when it arrives.
+    pub(super) fn note_arrival(&self, model: &Name, rank: Rank) {
+        let mut state = self.state.lock().expect("no holder panics");
+        let seconds = state.usual_seconds[rank.index()];
+        *state.slot_seconds.entry(model.clone()).or_default() += seconds;
+    }
+
+    /// Notes how long a request took a slot.
+    pub(super) fn note_length(&self, rank: Rank, length: Duration) {
+        let mut state = self.state.lock().expect("no holder panics");
+        let usual = &mut state.usual_seconds[rank.index()];
+        *usual += (length.as_secs_f64() - *usual) * LENGTH_WEIGHT;
     }
 
-    fn take(&self) -> HashMap<Name, u32> {
-        std::mem::take(&mut *self.counts.lock().expect("no holder panics"))
+    fn take(&self) -> HashMap<Name, f64> {
+        std::mem::take(&mut self.state.lock().expect("no holder panics").slot_seconds)
     }
 }
 
@@ -125,8 +146,8 @@
         for rate in self.rates.values_mut() {
             *rate *= 1.0 - weight;
         }
-        for (model, count) in self.demand.take() {
-            *self.rates.entry(model).or_default() += weight * f64::from(count) / seconds;
+        for (model, slot_seconds) in self.demand.take() {
+            *self.rates.entry(model).or_default() += weight * slot_seconds / seconds;
         }
         self.rates.retain(|_, rate| *rate > MIN_RATE);
         self.rates.iter().map(|(model, rate)| (model.clone(), *rate)).collect()
--- a/savoryport/src/rpc.rs
+++ b/savoryport/src/rpc.rs
@@ -25,7 +25,7 @@
     pub have: Versions,
     /// The longest wait for news in milliseconds.
     pub wait_ms: u64,
-    /// Requests a second by model, as seen by the asking process and those that follow it.
+    /// Slots in use or asked for by model, as seen by the asking process and those that follow it.
     pub demand: Vec<(Name, f64)>,
     /// What the asking entry counted; control processes have none.
     pub entry: Option<EntryStatus>,
--- a/savoryport_core/src/placement.rs
+++ b/savoryport_core/src/placement.rs
@@ -9,12 +9,12 @@
 use crate::Name;
 use crate::ledger::WantedItem;
 use crate::rank::Rank;
-use crate::table::{Kind, Table};
+use crate::table::{Kind, Row, Table};
 
 /// A new copy must promise this many times the gain of what it displaces.
 const SWAP_GAIN_RATIO: f64 = 2.0;
 
-/// Requests a second below which a model's copies are worth nothing beyond the fewest.
+/// Slots asked for below which a model's copies are worth nothing beyond the fewest.
 const NEGLIGIBLE_RATE: f64 = 1e-3;
 
 value! {
@@ -46,7 +46,7 @@
     pub table: &'a Table,
     /// The servers that stay; leaving ones are left out.
     pub servers: &'a [PlannedServer],
-    /// Requests a second by model, those of its adapters included.
+    /// Slots that requests of each model ask for, those of its adapters included.
     pub demand: &'a HashMap<Name, f64>,
     /// The plan in force.
     pub current: &'a Plan,
@@ -117,12 +117,15 @@
     planner.finish(input.current)
 }
 
-fn rank_worth(rank: Rank) -> f64 {
-    match rank {
-        Rank::Urgent => 16.0,
-        Rank::Normal => 4.0,
+/// The worth of a row's copies. Rank decides in the queues; a copy mostly is capacity, which rows of
+/// every rank need by their load, so rank and weight count for less here.
+fn worth(row: &Row) -> f64 {
+    let rank = match row.rank {
+        Rank::Urgent => 4.0,
+        Rank::Normal => 2.0,
         Rank::Batch => 1.0,
-    }
+    };
+    rank * f64::from(row.weight).sqrt()
 }
 
 impl<'a> Planner<'a> {
@@ -351,7 +354,7 @@
                 name: row.name.clone(),
                 memory_mib: row.memory_mib,
                 min_copies: row.min_copies as usize,
-                worth: f64::from(row.weight) * rank_worth(row.rank),
+                worth: worth(row),
                 rate: demand.get(&row.name).copied().unwrap_or(0.0),
             };
             (&row.name, bundle)
@@ -363,7 +366,7 @@
         };
         bundle.memory_mib += row.memory_mib;
         bundle.min_copies = bundle.min_copies.max(row.min_copies as usize);
-        bundle.worth = bundle.worth.max(f64::from(row.weight) * rank_worth(row.rank));
+        bundle.worth = bundle.worth.max(worth(row));
     }
     let mut bundles: Vec<Bundle> = bundles.into_values().collect();
     bundles.sort_by_key(|bundle| std::cmp::Reverse(bundle.memory_mib));
