--- a/savoryport/src/control/reader.rs
+++ b/savoryport/src/control/reader.rs
@@ -27,7 +27,7 @@
 /// How often the platform's list of VMs is read.
 const VM_LIST_PERIOD: Duration = Duration::from_millis(500);
 
-/// How often the demand of the failure domain is written.
+/// How often demand is told upstream, and the demand of the failure domain written.
 const DEMAND_PERIOD: Duration = Duration::from_secs(5);
 
 /// How often a reader looks whether an earlier VM of its domain is back.
@@ -77,8 +77,13 @@
 
 /// Follows another process until it no longer answers.
 async fn follow(cx: &Context, client: &ControlClient) {
+    let mut tell_at = cx.clock.now();
     loop {
-        match client.pull(pull_request(cx)).await {
+        let demand = (cx.clock.now() >= tell_at).then(|| {
+            tell_at = cx.clock.now() + DEMAND_PERIOD;
+            cx.hub.demand(cx.clock.now())
+        });
+        match client.pull(PullRequest { demand, ..pull_request(cx) }).await {
             Ok(update) => cx.hub.add(update),
             Err(err) => {
                 log::info!(err:%; "upstream lost");
@@ -93,7 +98,7 @@
         vm: cx.settings.vm.clone(),
         have: cx.hub.replica().versions(),
         wait_ms: WAIT.as_millis() as u64,
-        demand: cx.hub.demand(cx.clock.now()),
+        demand: None,
         entry: None,
     }
 }
@@ -158,7 +163,7 @@
     let addresses = cx.settings.peers.iter().cloned().chain(listed.map(ToString::to_string));
     for address in addresses.filter(|address| address != own) {
         let Ok(client) = ControlClient::connect(&address).await else { continue };
-        let req = PullRequest { wait_ms: 0, demand: Vec::new(), ..pull_request(cx) };
+        let req = PullRequest { wait_ms: 0, ..pull_request(cx) };
         if let Ok(update) = client.pull(req).await {
             cx.hub.add(update);
         }
--- a/savoryport/src/control/relay.rs
+++ b/savoryport/src/control/relay.rs
@@ -22,7 +22,9 @@
 
 impl Relay for RelayServer {
     async fn pull(self, _: context::Context, req: PullRequest) -> Update {
-        self.cx.hub.note_demand(&req.vm, req.demand, self.cx.clock.now());
+        if let Some(demand) = req.demand {
+            self.cx.hub.note_demand(&req.vm, demand, self.cx.clock.now());
+        }
         if let Some(entry) = req.entry.filter(|_| req.vm == self.cx.settings.vm) {
             self.cx.hub.note_entry(entry);
         }
--- a/savoryport/src/entry/fleet.rs
+++ b/savoryport/src/entry/fleet.rs
@@ -124,7 +124,7 @@
                 vm: self.vm.clone(),
                 have,
                 wait_ms: PULL_WAIT.as_millis() as u64,
-                demand: self.rates(interval),
+                demand: Some(self.rates(interval)),
                 entry: Some(self.metrics.status()),
             };
             let update = client.pull(req).await?;
--- a/savoryport/src/rpc.rs
+++ b/savoryport/src/rpc.rs
@@ -25,8 +25,9 @@
     pub have: Versions,
     /// The longest wait for news in milliseconds.
     pub wait_ms: u64,
-    /// Slots in use or asked for by model, as seen by the asking process and those that follow it.
-    pub demand: Vec<(Name, f64)>,
+    /// Slots in use or asked for by model, as seen by the asking process and those that follow it;
+    /// `None` between two tellings.
+    pub demand: Option<Vec<(Name, f64)>>,
     /// What the asking entry counted; control processes have none.
     pub entry: Option<EntryStatus>,
 }
--- a/savoryport_bench/src/main.rs
+++ b/savoryport_bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Experiments: the policy in virtual time, the capacity slopes, the path's own cost.
 
+mod capacity;
 mod policy;
 
 use std::path::PathBuf;
@@ -16,7 +17,8 @@
 
 const USAGE: &str = "\
 Usage: savoryport-bench policy [--seeds N] [--workload NAME] [--only-savoryport]
-                               [--json FILE] [--against FILE] [--plot FOLDER]";
+                               [--json FILE] [--against FILE] [--plot FOLDER]
+       savoryport-bench capacity";
 
 /// Threads that run experiments at once.
 const THREADS: usize = 5;
@@ -65,6 +67,7 @@
 fn run(options: &Options) -> Result<(), Failure> {
     match options.experiment.as_str() {
         "policy" => policy_experiment(options),
+        "capacity" => capacity::run(),
         other => Err(format!("unknown experiment {other:?}").into()),
     }
 }
--- a/savoryport_platform/src/kv.rs
+++ b/savoryport_platform/src/kv.rs
@@ -1,6 +1,6 @@
 //! The platform's key-value service, over the JSON form of the etcd v3 interface.
 
-use std::io::{BufRead, BufReader, ErrorKind};
+use std::io::{self, BufRead, BufReader};
 use std::time::Duration;
 
 use base64::Engine as _;
@@ -343,7 +343,7 @@
             let line = match line {
                 Ok(line) => line,
                 // The service confirmed the watch, and nothing changed in time.
-                Err(err) if was_created && err.kind() == ErrorKind::TimedOut => break,
+                Err(err) if was_created && has_timed_out(&err) => break,
                 Err(err) => return Err(KvError::Unanswered(err.to_string())),
             };
             was_created = true;
@@ -357,6 +357,12 @@
     }
 }
 
+/// The client hands its own timeout on inside an error of the reader.
+fn has_timed_out(err: &io::Error) -> bool {
+    let inner = err.get_ref().and_then(|inner| inner.downcast_ref::<ureq::Error>());
+    matches!(inner, Some(ureq::Error::Timeout(_))) || err.kind() == io::ErrorKind::TimedOut
+}
+
 fn event(raw: RawEvent) -> Result<Event, KvError> {
     let entry = entry(raw.kv)?;
     if raw.kind == "DELETE" {
--- /dev/null
+++ b/savoryport_platform/tests/engine_contract.rs
@@ -0,0 +1,148 @@
+//! The contract of a model engine's orders and reports, and of requests on connections.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use savoryport_core::ledger::{EngineState, HolderId, ItemState, Order, OrderAnswer, OrderKind};
+use savoryport_platform::connection::{Pool, SendError};
+use savoryport_platform::engine::{EngineClient, EngineError};
+use savoryport_standin::engine::{EngineConfig, EngineStandin};
+use savoryport_standin::proxy::Proxy;
+use savoryport_standin::service::ServiceStandin;
+
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+fn engine(checks_fencing: bool) -> EngineStandin {
+    let load_time = Duration::from_millis(5);
+    let cfg =
+        EngineConfig { capacity_mib: 100, checks_fencing, load_time, ..EngineConfig::default() };
+    EngineStandin::start("127.0.0.1:0", cfg, 7)
+}
+
+fn order(fence: u64, kind: OrderKind, item: &str) -> Order {
+    let issuer = HolderId { vm: "vm-1".into(), incarnation: 1 };
+    Order { fence, kind, item: item.into(), base: None, memory_mib: 60, issuer }
+}
+
+fn taken(answer: OrderAnswer) -> EngineState {
+    match answer {
+        OrderAnswer::Taken(state) => state,
+        OrderAnswer::Refused(state) => panic!("refused: {state:?}"),
+    }
+}
+
+fn wait_until_loaded(client: &EngineClient, item: &str) {
+    for _ in 0..200 {
+        let state = client.state().unwrap();
+        if state.get(item).is_some_and(|item| item.state == ItemState::Loaded) {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    panic!("{item} is not loaded");
+}
+
+#[test]
+fn orders_are_idempotent_and_reported() {
+    let engine = engine(true);
+    let client = EngineClient::new(engine.address(), TIMEOUT);
+    let load = order(1, OrderKind::Load, "a");
+    for _ in 0..3 {
+        assert_eq!(taken(client.order(&load).unwrap()).items.len(), 1);
+    }
+    wait_until_loaded(&client, "a");
+    let state = taken(client.order(&order(2, OrderKind::Unload, "a")).unwrap());
+    assert_eq!((state.items.len(), state.incarnation, state.highest_fence), (0, 7, 2));
+}
+
+#[test]
+fn an_engine_that_checks_refuses_an_old_number_and_another_takes_it() {
+    for checks_fencing in [true, false] {
+        let engine = engine(checks_fencing);
+        let client = EngineClient::new(engine.address(), TIMEOUT);
+        taken(client.order(&order(5, OrderKind::Load, "a")).unwrap());
+        let late = client.order(&order(4, OrderKind::Load, "b")).unwrap();
+        assert_eq!(matches!(late, OrderAnswer::Refused(_)), checks_fencing);
+        // The engine's own count shows what an unchecked order may do.
+        assert_eq!(engine.counts().overcommitted_mib, if checks_fencing { 0 } else { 20 });
+    }
+}
+
+#[test]
+fn an_order_without_an_answer_is_an_error_and_may_have_been_carried_out() {
+    let engine = engine(true);
+    let client = EngineClient::new(engine.address(), TIMEOUT);
+    engine.set_faults(|faults| faults.lose_order_answers = 1);
+    let lost = client.order(&order(1, OrderKind::Load, "a"));
+    assert_matches!(lost, Err(EngineError::Unanswered { .. }));
+    wait_until_loaded(&client, "a");
+}
+
+#[test]
+fn a_restarted_engine_is_another_with_nothing_in_memory() {
+    let engine = engine(true);
+    let client = EngineClient::new(engine.address(), TIMEOUT);
+    taken(client.order(&order(9, OrderKind::Load, "a")).unwrap());
+    engine.restart();
+    let state = client.state().unwrap();
+    assert_eq!((state.incarnation, state.highest_fence, state.items.len()), (8, 0, 0));
+}
+
+fn request(id: &str) -> Request<Full<Bytes>> {
+    Request::post("/pay").header("x-request-id", id).body(Full::default()).unwrap()
+}
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap()
+}
+
+#[test]
+fn a_request_on_a_stale_connection_is_never_repeated_by_the_client() {
+    let service = ServiceStandin::start("127.0.0.1:0");
+    let proxy = Proxy::start("127.0.0.1:0", service.address());
+    runtime().block_on(async {
+        let (pool, address) = (Pool::default(), proxy.address().into());
+        let mut first = pool.connect(&address, true, TIMEOUT).await.unwrap();
+        first.send(request("one")).await.unwrap().into_body().collect().await.unwrap();
+        pool.give_back(first);
+        // The answer to the next request is lost together with its connection.
+        service.set_faults(|faults| faults.delay = Duration::from_millis(200));
+        let mut second = pool.connect(&address, true, TIMEOUT).await.unwrap();
+        let sending = second.send(request("two"));
+        let cutting = async {
+            tokio::time::sleep(Duration::from_millis(80)).await;
+            proxy.cut();
+        };
+        let (sent, ()) = tokio::join!(sending, cutting);
+        assert_matches!(sent, Err(SendError::Broken { .. }));
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(service.executions().get("two"), Some(&1));
+}
+
+#[test]
+fn a_fresh_connection_is_not_taken_from_the_pool() {
+    let service = ServiceStandin::start("127.0.0.1:0");
+    let proxy = Proxy::start("127.0.0.1:0", service.address());
+    runtime().block_on(async {
+        let (pool, address) = (Pool::default(), proxy.address().into());
+        let mut first = pool.connect(&address, true, TIMEOUT).await.unwrap();
+        first.send(request("one")).await.unwrap().into_body().collect().await.unwrap();
+        pool.give_back(first);
+        proxy.silence_open();
+        let mut fresh = pool.connect(&address, false, TIMEOUT).await.unwrap();
+        let answered = tokio::time::timeout(TIMEOUT, fresh.send(request("two"))).await;
+        assert!(answered.is_ok_and(|answer| answer.is_ok()));
+    });
+}
+
+#[test]
+fn nobody_listening_is_told_apart_from_a_broken_connection() {
+    runtime().block_on(async {
+        let refused = Pool::default().connect(&"127.0.0.1:1".into(), false, TIMEOUT).await;
+        assert_matches!(refused, Err(SendError::NotConnected { .. }));
+    });
+}
--- /dev/null
+++ b/savoryport_platform/tests/kv_contract.rs
@@ -0,0 +1,121 @@
+//! The contract of the key-value service, for any implementation, and its faults.
+
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use savoryport_platform::kv::{EtcdClient, Event, KeyValue, KvError, PutAnswer};
+use savoryport_standin::kv::KvStandin;
+use savoryport_standin::proxy::Proxy;
+
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+/// What every implementation must keep; each part uses keys of its own.
+fn check_contract(kv: &dyn KeyValue<Error = KvError>) {
+    writes_are_conditional(kv);
+    listings_hold_a_prefix(kv);
+    leases_take_their_keys_with_them(kv);
+    watches_show_each_change_once(kv);
+}
+
+fn written(answer: PutAnswer) -> u64 {
+    match answer {
+        PutAnswer::Written(revision) => revision,
+        PutAnswer::Conflict => panic!("nobody else writes here"),
+    }
+}
+
+fn writes_are_conditional(kv: &dyn KeyValue<Error = KvError>) {
+    assert_eq!(kv.get("put/a").unwrap(), None);
+    let first = written(kv.put_if("put/a", b"1", 0, None).unwrap());
+    assert_eq!(kv.put_if("put/a", b"2", 0, None).unwrap(), PutAnswer::Conflict);
+    let second = written(kv.put_if("put/a", b"2", first, None).unwrap());
+    assert!(second > first);
+    assert_eq!(kv.put_if("put/a", b"3", first, None).unwrap(), PutAnswer::Conflict);
+    let entry = kv.get("put/a").unwrap().unwrap();
+    assert_eq!((entry.value.as_slice(), entry.revision), (b"2".as_slice(), second));
+}
+
+fn listings_hold_a_prefix(kv: &dyn KeyValue<Error = KvError>) {
+    for key in ["list/a", "list/b", "lisu"] {
+        kv.put_if(key, key.as_bytes(), 0, None).unwrap();
+    }
+    let (entries, revision) = kv.list("list/").unwrap();
+    let keys: Vec<&str> = entries.iter().map(|entry| entry.key.as_str()).collect();
+    assert_eq!(keys, ["list/a", "list/b"]);
+    assert!(entries.iter().all(|entry| entry.revision <= revision));
+}
+
+fn leases_take_their_keys_with_them(kv: &dyn KeyValue<Error = KvError>) {
+    let lease = kv.grant_lease(Duration::from_secs(1)).unwrap();
+    written(kv.put_if("lease/a", b"x", 0, Some(lease)).unwrap());
+    assert!(kv.keep_alive(lease).unwrap());
+    kv.revoke(lease).unwrap();
+    assert_eq!(kv.get("lease/a").unwrap(), None);
+    assert!(!kv.keep_alive(lease).unwrap());
+    // A key cannot be written under a lease that has ended.
+    assert_eq!(kv.put_if("lease/a", b"x", 0, Some(lease)).unwrap(), PutAnswer::Conflict);
+    let short = kv.grant_lease(Duration::from_secs(1)).unwrap();
+    let revision = written(kv.put_if("lease/b", b"x", 0, Some(short)).unwrap());
+    let events = kv.watch("lease/b", revision, Duration::from_secs(3)).unwrap();
+    assert_matches!(&events[..], [Event::Delete { key, .. }] if key == "lease/b");
+}
+
+fn watches_show_each_change_once(kv: &dyn KeyValue<Error = KvError>) {
+    let first = written(kv.put_if("watch/a", b"1", 0, None).unwrap());
+    written(kv.put_if("watch/a", b"2", first, None).unwrap());
+    let events = kv.watch("watch/", first, Duration::from_secs(2)).unwrap();
+    assert_matches!(&events[..], [Event::Put(entry)] if entry.value == b"2");
+    let last = match &events[0] {
+        Event::Put(entry) => entry.revision,
+        Event::Delete { revision, .. } => *revision,
+    };
+    assert_eq!(kv.watch("watch/", last, Duration::from_millis(200)).unwrap(), []);
+}
+
+#[test]
+fn the_etcd_form_keeps_the_contract() {
+    let standin = KvStandin::start("127.0.0.1:0");
+    check_contract(&EtcdClient::new(standin.address(), Duration::from_secs(2)));
+}
+
+#[test]
+fn faults_are_told_apart() {
+    let standin = KvStandin::start("127.0.0.1:0");
+    let kv = EtcdClient::new(standin.address(), TIMEOUT);
+    standin.set_faults(|faults| faults.down = true);
+    assert_matches!(kv.get("a"), Err(KvError::Unanswered(_)));
+    assert_matches!(kv.watch("a", 0, Duration::ZERO), Err(KvError::Unanswered(_)));
+    standin.set_faults(|faults| {
+        faults.down = false;
+        faults.lose_write_answers = 1;
+    });
+    assert_matches!(kv.put_if("a", b"1", 0, None), Err(KvError::Unanswered(_)));
+    assert_eq!(kv.get("a").unwrap().unwrap().value, b"1", "the write took effect");
+    standin.set_faults(|faults| faults.max_writes_per_second = Some(0));
+    assert_matches!(kv.put_if("b", b"1", 0, None), Err(KvError::Refused(429)));
+    assert_eq!(kv.get("b").unwrap(), None, "a refused write takes no effect");
+    let nobody = EtcdClient::new("127.0.0.1:1", TIMEOUT);
+    assert_matches!(nobody.get("a"), Err(KvError::NotReachable { .. }));
+}
+
+#[test]
+fn a_cut_watch_is_an_error_and_not_a_watch_without_news() {
+    let standin = KvStandin::start("127.0.0.1:0");
+    let proxy = Proxy::start("127.0.0.1:0", standin.address());
+    let kv = EtcdClient::new(proxy.address(), TIMEOUT);
+    proxy.set_faults(|faults| faults.refuse = true);
+    assert!(kv.watch("a", 0, Duration::from_secs(1)).is_err());
+}
+
+#[test]
+fn a_silent_connection_is_given_up_in_time() {
+    let standin = KvStandin::start("127.0.0.1:0");
+    let proxy = Proxy::start("127.0.0.1:0", standin.address());
+    let kv = EtcdClient::new(proxy.address(), TIMEOUT);
+    assert_eq!(kv.get("a").unwrap(), None);
+    proxy.silence_open();
+    let began = Instant::now();
+    assert_matches!(kv.get("a"), Err(KvError::Unanswered(_)));
+    assert!(began.elapsed() < TIMEOUT * 3);
+    assert_eq!(kv.get("a").unwrap(), None, "a new connection works");
+}
