Follow only an upstream that answers, and log only our own lines

Cause: a frozen control process still takes connections, so its followers connected, waited 4 s for an answer, and connected again, for good. Ruled out: the key-value service (the other domain had the change at once).

Change: an upstream is asked for its status within 0.5 s before it is followed; the metrics show whether a process reads the platform itself. Lines of libraries, one for each call at level info, are no longer logged.

--- a/savoryport/src/control/mod.rs
+++ b/savoryport/src/control/mod.rs
@@ -125,6 +125,7 @@
     let replica = cx.hub.replica();
     json!({
         "vm": cx.settings.vm,
+        "reads_platform": cx.metrics.reading_platform.get() == 1,
         "table_version": replica.table.version,
         "plan_version": replica.plan.version,
         "marks": replica.marks,
--- a/savoryport/src/control/reader.rs
+++ b/savoryport/src/control/reader.rs
@@ -21,6 +21,9 @@
 /// The longest wait of one watch, and of one pull.
 const WAIT: Duration = Duration::from_secs(2);
 
+/// The time for an earlier VM of the domain to show that it is there.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+
 /// The pause after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -40,7 +43,11 @@
         let upstream = first_answering(&upstreams(&cx)).await;
         match upstream {
             Some(client) => follow(&cx, &client).await,
-            None => read_platform(&cx).await,
+            None => {
+                cx.metrics.reading_platform.set(1);
+                read_platform(&cx).await;
+                cx.metrics.reading_platform.set(0);
+            }
         }
     }
 }
@@ -66,9 +73,12 @@
     earlier.iter().filter_map(|vm| vm.control_address.as_ref()).map(ToString::to_string).collect()
 }
 
+/// Returns the first process that answers. A frozen one still takes connections, so each is asked.
 async fn first_answering(addresses: &[String]) -> Option<ControlClient> {
     for address in addresses {
-        if let Ok(client) = ControlClient::connect(address).await {
+        let Ok(client) = ControlClient::connect(address).await else { continue };
+        let asked = tokio::time::timeout(ANSWER_LIMIT, client.status()).await;
+        if matches!(asked, Ok(Ok(_))) {
             return Some(client);
         }
     }
@@ -113,7 +123,7 @@
     cx.hub.add(cx.hub.replica().complete(Update { seen: revision, ..update }));
     log::info!(revision; "reading the platform");
     let beside = tokio::spawn(read_beside(cx.clone()));
-    let started = cx.clock.now();
+    let mut look_at = cx.clock.now() + UPSTREAM_PERIOD;
     loop {
         match cx.platform.watch(keys::PREFIX, revision, WAIT).await {
             Ok(events) => {
@@ -125,9 +135,11 @@
                 break;
             }
         }
-        let may_look = cx.clock.now() - started > UPSTREAM_PERIOD;
-        if may_look && first_answering(&upstreams(cx)).await.is_some() {
-            break;
+        if cx.clock.now() >= look_at {
+            look_at = cx.clock.now() + UPSTREAM_PERIOD;
+            if first_answering(&upstreams(cx)).await.is_some() {
+                break;
+            }
         }
     }
     beside.abort();
--- a/savoryport/src/logging.rs
+++ b/savoryport/src/logging.rs
@@ -18,7 +18,8 @@
 
 /// Starts logging for a program; `SAVORYPORT_LOG` sets the levels.
 pub fn start(program: &'static str, level: &str) {
-    let env = Env::new().filter_or("SAVORYPORT_LOG", level);
+    // Libraries log each call that they make; only what this project says is a change of state.
+    let env = Env::new().filter_or("SAVORYPORT_LOG", format!("off,savoryport={level}"));
     let _ = env_logger::Builder::from_env(env)
         .format(move |buf, record| {
             let time = buf.timestamp_millis();
--- a/savoryport/src/metrics.rs
+++ b/savoryport/src/metrics.rs
@@ -97,6 +97,8 @@
     pub retained_mib: Gauge,
     /// Models without any copy in memory.
     pub unreachable_models: Gauge,
+    /// 1 while this process reads the platform itself, 0 while it follows another.
+    pub reading_platform: Gauge,
 }
 
 fn seconds() -> Histogram {
@@ -200,6 +202,11 @@
             "Models without a copy in memory",
             self.unreachable_models.clone(),
         );
+        registry.register(
+            "reading_platform",
+            "1 while it reads the platform itself, 0 while it follows another",
+            self.reading_platform.clone(),
+        );
         registry
     }
 }
--- a/savoryport/tests/faults.rs
+++ b/savoryport/tests/faults.rs
@@ -113,6 +113,19 @@
     println!("in force everywhere after {:?}", began.elapsed());
 }
 
+#[test]
+fn a_change_reaches_the_followers_of_a_frozen_reader_in_time() {
+    let site = Site::start();
+    // The first VM of the domain reads for it; frozen, it still takes connections.
+    let follows = || site.reads_platform(0) && !site.reads_platform(1);
+    wait_for("the second VM to follow the first", Duration::from_secs(12), follows);
+    signal(site.nodes[0].control.as_ref().unwrap(), Signal::STOP);
+    site.apply(&larger_table(), false).unwrap();
+    wait_for("version 2 at the follower", IN_FORCE_WITHIN, || site.version_at(1) == 2);
+    wait_for("version 2 beside the reader", IN_FORCE_WITHIN, || site.version_at(0) == 2);
+    signal(site.nodes[0].control.as_ref().unwrap(), Signal::CONT);
+}
+
 #[test]
 fn a_change_after_an_outage_is_in_force_in_time_and_nothing_went_back() {
     let mut site = Site::start();
--- a/savoryport/tests/site/mod.rs
+++ b/savoryport/tests/site/mod.rs
@@ -232,6 +232,14 @@
         (0..self.engines.len()).filter(|at| has(&self.fleet.engines[*at])).collect()
     }
 
+    /// Returns whether a node's control process reads the platform itself.
+    pub fn reads_platform(&self, at: usize) -> bool {
+        let address = self.nodes[at].settings["control_metrics_listen"].as_str().unwrap();
+        let Ok(answer) = get(address, "/status") else { return false };
+        let status: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+        status["reads_platform"] == json!(true)
+    }
+
     /// Returns the table's version that a node's entry has in force.
     pub fn version_at(&self, at: usize) -> u64 {
         let address = self.nodes[at].settings["entry_metrics_listen"].as_str().unwrap();
