Publish the watermark, so that followers at rest wait

A control process published what it knew only when more than its watermark had changed, so its followers kept asking from before its own last write, and were answered at once, for good. Ruled out: the dispatcher's tick (200 a second) and the metrics page.

Change: a moved watermark is news; a follower that is sent nothing new pauses.

After: it passes (fewer than 20).

--- a/savoryport/src/control/reader.rs
+++ b/savoryport/src/control/reader.rs
@@ -94,7 +94,15 @@
             cx.hub.demand(cx.clock.now())
         });
         match client.pull(PullRequest { demand, ..pull_request(cx) }).await {
-            Ok(update) => cx.hub.add(update),
+            Ok(update) => {
+                let is_news = (*cx.hub.replica()).clone().merge(update.clone());
+                let is_repeated = !is_news && !update.is_empty();
+                cx.hub.add(update);
+                if is_repeated {
+                    // The other knows something beyond its own watermark; it will come level.
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
             Err(err) => {
                 log::info!(err:%; "upstream lost");
                 return;
--- a/savoryport/src/entry/fleet.rs
+++ b/savoryport/src/entry/fleet.rs
@@ -132,6 +132,9 @@
                 let mut replica = (**self.tx.borrow()).clone();
                 if replica.merge(update) {
                     self.tx.send_replace(Arc::new(replica));
+                } else {
+                    // The other knows something beyond its own watermark; it will come level.
+                    tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
             if !is_local {
--- a/savoryport/tests/faults.rs
+++ b/savoryport/tests/faults.rs
@@ -8,7 +8,9 @@
 use rustix::process::Signal;
 use savoryport::cli::CliError;
 use savoryport::cli::table::{self, Options};
+use savoryport::rpc::{ControlClient, PullRequest};
 use savoryport_core::ledger::ServerRecord;
+use savoryport_core::replica::Replica;
 
 use site::{Site, TABLE, kill, read_stream, signal, tokens_of, wait_for};
 
@@ -335,3 +337,25 @@
     });
     site.assert_no_overcommitment();
 }
+
+#[test]
+fn a_follower_at_rest_asks_rarely() {
+    let site = Site::start();
+    let address = site.nodes[0].settings["control_listen"].as_str().unwrap().to_owned();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let pulls = runtime.block_on(async {
+        let client = ControlClient::connect(&address).await.unwrap();
+        let mut replica = Replica::default();
+        let mut pulls = 0;
+        let began = Instant::now();
+        while began.elapsed() < Duration::from_secs(3) {
+            let have = replica.versions();
+            let (vm, demand, entry) = ("follower".into(), None, None);
+            let req = PullRequest { vm, have, wait_ms: 1_000, demand, entry };
+            replica.merge(client.pull(req).await.unwrap());
+            pulls += 1;
+        }
+        pulls
+    });
+    assert!(pulls < 20, "{pulls} pulls in 3 s although nothing changes");
+}
--- a/savoryport_bench/src/capacity.rs
+++ b/savoryport_bench/src/capacity.rs
@@ -25,6 +25,8 @@
 use smallvec::SmallVec;
 use tokio_util::sync::CancellationToken;
 
+use crate::processor::seconds_of;
+
 type Failure = Box<dyn std::error::Error>;
 
 /// The share of the target size at which each state is built.
@@ -54,9 +56,6 @@
 /// The name of the threads whose processor time is counted.
 const CONTROL_THREADS: &str = "control";
 
-/// Clock ticks in one second of processor time, as `/proc` counts it.
-const TICKS_PER_SECOND: f64 = 100.0;
-
 /// A figure at several sizes.
 struct Series {
     what: &'static str,
@@ -417,11 +416,11 @@
             others.spawn(follow(proxy.address().to_owned(), at, tx.clone()));
         }
         std::thread::sleep(Duration::from_secs(2));
-        let (bytes, cpu) = (proxy.bytes(), control_seconds());
+        let (bytes, cpu) = (proxy.bytes(), seconds_of(CONTROL_THREADS));
         std::thread::sleep(WATCHED);
         let seconds = WATCHED.as_secs_f64();
         idle.add(count, (proxy.bytes() - bytes) as f64 / seconds);
-        time.add(count, (control_seconds() - cpu) / seconds * 100.0);
+        time.add(count, (seconds_of(CONTROL_THREADS) - cpu) / seconds * 100.0);
         let bytes = proxy.bytes();
         let mut slowest: f64 = 0.0;
         for version in 2..2 + CHANGES {
@@ -468,11 +467,11 @@
     let mut calls = Series::new("calls of the key-value service", "calls/s by servers held");
     for count in STEWARDED {
         let control = Control::start(count)?;
-        let (cpu, before) = (control_seconds(), control.fleet.kv.calls());
+        let (cpu, before) = (seconds_of(CONTROL_THREADS), control.fleet.kv.calls());
         std::thread::sleep(WATCHED);
         let after = control.fleet.kv.calls();
         let seconds = WATCHED.as_secs_f64();
-        time.add(count, (control_seconds() - cpu) / seconds * 100.0);
+        time.add(count, (seconds_of(CONTROL_THREADS) - cpu) / seconds * 100.0);
         let total =
             |calls: savoryport_standin::kv::Calls| calls.reads + calls.writes + calls.watches;
         calls.add(count, (total(after) - total(before)) as f64 / seconds);
@@ -486,16 +485,3 @@
     let line = status.lines().find(|line| line.starts_with("VmRSS:"));
     line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0.0)
 }
-
-/// Returns the processor time of the control process's threads so far.
-fn control_seconds() -> f64 {
-    let tasks = fs::read_dir("/proc/self/task").into_iter().flatten().flatten();
-    let ticks = tasks.filter_map(|task| {
-        let stat = fs::read_to_string(task.path().join("stat")).ok()?;
-        let (head, tail) = stat.rsplit_once(')')?;
-        head.ends_with(CONTROL_THREADS).then_some(())?;
-        let fields: Vec<&str> = tail.split_whitespace().collect();
-        Some(fields[11].parse::<f64>().ok()? + fields[12].parse::<f64>().ok()?)
-    });
-    ticks.sum::<f64>() / TICKS_PER_SECOND
-}
--- a/savoryport_bench/src/main.rs
+++ b/savoryport_bench/src/main.rs
@@ -1,7 +1,9 @@
 //! Experiments: the policy in virtual time, the capacity slopes, the path's own cost.
 
 mod capacity;
+mod path;
 mod policy;
+mod processor;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -18,7 +20,8 @@
 const USAGE: &str = "\
 Usage: savoryport-bench policy [--seeds N] [--workload NAME] [--only-savoryport]
                                [--json FILE] [--against FILE] [--plot FOLDER]
-       savoryport-bench capacity";
+       savoryport-bench capacity
+       savoryport-bench path";
 
 /// Threads that run experiments at once.
 const THREADS: usize = 5;
@@ -68,6 +71,7 @@
     match options.experiment.as_str() {
         "policy" => policy_experiment(options),
         "capacity" => capacity::run(),
+        "path" => path::run(),
         other => Err(format!("unknown experiment {other:?}").into()),
     }
 }
--- a/savoryport_core/src/replica.rs
+++ b/savoryport_core/src/replica.rs
@@ -131,9 +131,9 @@
         }
     }
 
-    /// Takes over what is newer and returns whether anything was.
+    /// Takes over what is newer and returns whether anything was, be it only the watermark.
     pub fn merge(&mut self, update: Update) -> bool {
-        let before = Versions { seen: 0, ..self.versions() };
+        let before = self.versions();
         let table = update.table.or_else(|| update.delta.and_then(|d| d.apply(&self.table)));
         if let Some(table) = table {
             self.take_table(table);
@@ -152,7 +152,7 @@
             changed |= self.take_mark(key, mark);
         }
         self.seen = self.seen.max(update.seen);
-        changed || before != Versions { seen: 0, ..self.versions() }
+        changed || before != self.versions()
     }
 
     /// Adds to a whole listing of the key-value service what must have been removed since: marks
