--- a/savoryport_core/src/dispatch/mod.rs
+++ b/savoryport_core/src/dispatch/mod.rs
@@ -308,19 +308,17 @@
 
     /// Estimates how long a new request of a rank would wait for one of the servers.
     fn expected_wait(&self, rank: Rank, hosts: &[usize]) -> Duration {
-        let (mut ahead, mut drained, mut released) = (0.0, 0.0, 0.0);
+        // The request itself waits, too.
+        let (mut ahead, mut drained) = (1.0, 0.0);
         for &at in hosts {
             let server = &self.servers[at];
             let waiting = self.queues.claims(at)[rank.index()];
             ahead += f64::from(waiting) / hosts.len() as f64;
             drained += server.drain_rate(rank, &self.cfg.shares);
-            released += server.release_rate();
         }
-        if drained <= 0.0 || released <= 0.0 {
+        if drained <= 0.0 {
             return MAX_RETRY_AFTER;
         }
-        // The next slot of any rank may be its own; those ahead take what the rank gets for long.
-        let seconds = 1.0 / released + ahead / drained;
-        Duration::from_secs_f64(seconds.min(MAX_RETRY_AFTER.as_secs_f64()))
+        Duration::from_secs_f64((ahead / drained).min(MAX_RETRY_AFTER.as_secs_f64()))
     }
 }
--- a/savoryport_core/src/dispatch/server.rs
+++ b/savoryport_core/src/dispatch/server.rs
@@ -14,6 +14,9 @@
 /// The time constant of what is remembered of the ranks' use of a server.
 const USAGE_MEMORY: Duration = Duration::from_secs(10);
 
+/// How much longer than the mean most first tokens take at the most.
+const FIRST_TOKEN_MARGIN: f64 = 1.5;
+
 /// Standard deviations of a more urgent rank's use that are kept free for it.
 const RESERVE_DEVIATIONS: f64 = 1.5;
 
@@ -210,8 +213,7 @@
     fn is_under_guarantee(&self, rank: Rank, shares: &[f64; 3]) -> bool {
         let guaranteed = shares[rank.index()] * self.limit.value();
         let in_flight = f64::from(self.in_flight[rank.index()]);
-        in_flight + 1.0 <= guaranteed
-            || (in_flight < guaranteed.max(1.0) && self.usage.share(rank) < shares[rank.index()])
+        in_flight + 1.0 <= guaranteed || self.usage.share(rank) < shares[rank.index()]
     }
 
     /// Returns whether a request of a rank may start although others wait, given by rank.
@@ -253,15 +255,25 @@
     }
 
     /// Estimates how many slots come free each second.
-    pub(super) fn release_rate(&self) -> f64 {
+    fn release_rate(&self) -> f64 {
         let free = (self.limit.value() - f64::from(self.total())).max(0.0);
         let ended = self.in_flight.iter().zip(self.total_seconds);
         let ending: f64 = ended.map(|(count, seconds)| f64::from(*count) / seconds.max(1e-3)).sum();
         ending + free
     }
 
-    /// Estimates how many waiting requests of a rank the server starts each second for long.
+    /// Estimates how many waiting requests of a rank the server starts each second: every slot that
+    /// comes free while the rank has less than its share, and its share for long otherwise.
     pub(super) fn drain_rate(&self, rank: Rank, shares: &[f64; 3]) -> f64 {
+        let for_long = self.lasting_rate(rank, shares);
+        if self.usage.share(rank) < shares[rank.index()] {
+            self.release_rate().max(for_long)
+        } else {
+            for_long
+        }
+    }
+
+    fn lasting_rate(&self, rank: Rank, shares: &[f64; 3]) -> f64 {
         let limit = self.limit.value();
         let own = f64::from(self.in_flight[rank.index()]);
         let others = f64::from(self.total()) - own;
@@ -271,9 +283,9 @@
         slots / self.total_seconds[rank.index()].max(1e-3)
     }
 
-    /// Estimates the time from the hand-over to the first token, as lately seen.
+    /// Estimates the time from the hand-over to the first token, as most of them lately needed.
     pub(super) fn usual_first_token(&self) -> Duration {
-        Duration::from_secs_f64(self.first_token_seconds)
+        Duration::from_secs_f64(self.first_token_seconds * FIRST_TOKEN_MARGIN)
     }
 }
 
