--- a/savoryport/src/control/reader.rs
+++ b/savoryport/src/control/reader.rs
@@ -19,7 +19,7 @@
 use crate::rpc::{ControlClient, PullRequest};
 
 /// The longest wait of one watch, and of one pull.
-const WAIT: Duration = Duration::from_secs(2);
+const WAIT: Duration = Duration::from_secs(3);
 
 /// The time for an earlier VM of the domain to show that it is there.
 const ANSWER_LIMIT: Duration = Duration::from_millis(500);
--- a/savoryport/src/rpc.rs
+++ b/savoryport/src/rpc.rs
@@ -11,7 +11,7 @@
 use thiserror::Error;
 
 /// How much longer than the wait a caller allows for the answer.
-const ANSWER_GRACE: Duration = Duration::from_secs(2);
+const ANSWER_GRACE: Duration = Duration::from_secs(1);
 
 /// The time to connect to another process.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
--- a/savoryport/tests/commands.rs
+++ b/savoryport/tests/commands.rs
@@ -101,3 +101,32 @@
     let unknown = run(&[&platform[..], &["explain", "none"]].concat());
     assert_eq!(unknown.status.code(), Some(1));
 }
+
+#[test]
+fn the_operators_page_works_as_written() {
+    let site = Site::start();
+    let settings = site.nodes[0].settings_file.to_str().unwrap().to_owned();
+    let file = site.folder().join("edited.csv");
+    let path = file.to_str().unwrap();
+    let ask = |words: &[&str]| {
+        let output = run(&[&["--settings", &settings], words].concat());
+        assert!(output.status.success(), "{words:?}: {}", text(&output.stderr));
+        text(&output.stdout)
+    };
+    assert!(ask(&["settings", "check", &settings]).contains("settings are good"));
+    assert!(ask(&["table", "get", path]).contains("6 rows of version 1"));
+    let edited = std::fs::read_to_string(&file).unwrap().replace("20000,1,batch", "21000,1,batch");
+    std::fs::write(&file, edited).unwrap();
+    assert!(ask(&["table", "check", path]).contains("6 rows are good"));
+    assert!(ask(&["table", "diff", path]).starts_with("~ model,review,,21000"));
+    assert_eq!(ask(&["table", "apply", path]).trim(), "accepted as version 2");
+    assert_eq!(ask(&["table", "diff", path]).trim(), "no row differs");
+    assert!(ask(&["explain", "review"]).contains("21000 MiB"));
+    assert!(ask(&["drain", "engine-1"]).contains("gets no new work"));
+    let elsewhere = || {
+        let explained = ask(&["explain", "quick"]);
+        explained.lines().any(|line| line.contains(": loaded") && !line.contains("engine-1:"))
+    };
+    site::wait_for("a copy elsewhere", std::time::Duration::from_secs(10), elsewhere);
+    assert!(ask(&["drain", "engine-1", "--undo"]).contains("drain taken back"));
+}
--- a/savoryport/tests/site/mod.rs
+++ b/savoryport/tests/site/mod.rs
@@ -38,7 +38,7 @@
 pub struct Node {
     pub vm: Vm,
     pub settings: Value,
-    settings_file: std::path::PathBuf,
+    pub settings_file: std::path::PathBuf,
     pub entry: Option<Child>,
     pub control: Option<Child>,
 }
--- a/savoryport_bench/src/capacity.rs
+++ b/savoryport_bench/src/capacity.rs
@@ -448,7 +448,7 @@
         let req = PullRequest {
             vm: format!("follower-{at}").into(),
             have: replica.versions(),
-            wait_ms: 2_000,
+            wait_ms: 3_000,
             demand: None,
             entry: None,
         };
