Spread news by a tree, and look at settled servers less often

Cause: measured slopes break the limits at the target size. A holder of 119 servers (830 in 7 domains) would spend 0.745 + 0.0191 x 119 = 3.0% of a core, of 2.1% allowed; a reader with 49 followers would send 7.7 KB/s without any news, and each write of a ledger 17 KB, of 13 KB/s allowed.

Change: a process follows its parent in a tree with 8 followers each, and any earlier VM where that is gone; settled servers are looked at each 4 s instead of 2 s.

--- a/savoryport/src/control/reader.rs
+++ b/savoryport/src/control/reader.rs
@@ -1,6 +1,6 @@
 //! Keeps this process up to date, from another control process or from the platform itself.
 //!
-//! The first live VM of a failure domain reads the platform; the others follow it. So a change costs
+//! The first live VM of a failure domain reads the platform; the others follow it in a tree. So a change costs
 //! the key-value service one watch for each domain, not one for each node, and crosses the link
 //! between regions once for each domain beyond it.
 
@@ -10,6 +10,7 @@
 use savoryport_core::Name;
 use savoryport_core::fleet::Vm;
 use savoryport_core::ledger::ServerRecord;
+use savoryport_core::relay;
 use savoryport_core::replica::{Mark, Residency, Update};
 use savoryport_platform::kv::{Entry, Event, KvError, PutAnswer, Revision};
 use savoryport_platform::vms;
@@ -61,16 +62,16 @@
     }
 }
 
-/// Returns the control addresses of earlier VMs in this failure domain.
+/// Returns the control addresses of those that this process may follow, the best first.
 fn upstreams(cx: &Context) -> Vec<String> {
     let replica = cx.hub.replica();
     let settings = &cx.settings;
-    let is_earlier =
-        |vm: &&Vm| vm.failure_domain == settings.failure_domain && vm.name < settings.vm;
-    let mut earlier: Vec<&Vm> =
-        replica.vms.entries().filter(|vm| !vm.leaving).filter(is_earlier).collect();
-    earlier.sort_by(|a, b| a.name.cmp(&b.name));
-    earlier.iter().filter_map(|vm| vm.control_address.as_ref()).map(ToString::to_string).collect()
+    let is_near = |vm: &&Vm| vm.failure_domain == settings.failure_domain && !vm.leaving;
+    let mut domain: Vec<&Vm> = replica.vms.entries().filter(is_near).collect();
+    domain.sort_by(|a, b| a.name.cmp(&b.name));
+    let place = domain.iter().take_while(|vm| vm.name < settings.vm).count();
+    let candidates = relay::upstreams(place).into_iter().map(|place| domain[place]);
+    candidates.filter_map(|vm| vm.control_address.as_ref()).map(ToString::to_string).collect()
 }
 
 /// Returns the first process that answers. A frozen one still takes connections, so each is asked.
--- a/savoryport/src/settings.rs
+++ b/savoryport/src/settings.rs
@@ -80,7 +80,7 @@
     pub platform_timeout_ms: u64,
     /// The time for one order to an engine in milliseconds. Default 2,000.
     pub order_timeout_ms: u64,
-    /// How often a settled server is looked at in milliseconds. Default 2,000.
+    /// How often a settled server is looked at in milliseconds. Default 4,000.
     pub steward_period_ms: u64,
     /// How often a plan is made in milliseconds. Default 2,000.
     pub plan_period_ms: u64,
@@ -135,7 +135,7 @@
             lease_ttl_ms: 9_000,
             platform_timeout_ms: 1_000,
             order_timeout_ms: 2_000,
-            steward_period_ms: 2_000,
+            steward_period_ms: 4_000,
             plan_period_ms: 2_000,
             move_budget: 2,
             weight_store_slots: 8,
--- a/savoryport_core/src/lib.rs
+++ b/savoryport_core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ledger;
 pub mod placement;
 pub mod rank;
+pub mod relay;
 pub mod replica;
 pub mod table;
 pub mod ticket;
