--- a/savoryport_bench/src/main.rs
+++ b/savoryport_bench/src/main.rs
@@ -15,11 +15,12 @@
 use self::policy::report::Results;
 use self::policy::rules::{BASELINES, Policy, SAVORYPORT};
 use self::policy::sim;
-use self::policy::workload::Workload;
+use self::policy::workload::{STEADY_LOAD, Workload};
 
 const USAGE: &str = "\
 Usage: savoryport-bench policy [--seeds N] [--workload NAME] [--only-savoryport]
                                [--json FILE] [--against FILE] [--plot FOLDER]
+       savoryport-bench goodput [--seeds N]
        savoryport-bench capacity
        savoryport-bench path";
 
@@ -70,6 +71,7 @@
 fn run(options: &Options) -> Result<(), Failure> {
     match options.experiment.as_str() {
         "policy" => policy_experiment(options),
+        "goodput" => goodput_experiment(options),
         "capacity" => capacity::run(),
         "path" => path::run(),
         other => Err(format!("unknown experiment {other:?}").into()),
@@ -127,6 +129,25 @@
     }
 }
 
+/// Compares what is served at capacity and at three times of it.
+fn goodput_experiment(options: &Options) -> Result<(), Failure> {
+    println!(
+        "deployment, seed: attained at capacity, at three times capacity, ratio (target 0.95)"
+    );
+    for deployment in Deployment::all() {
+        for seed in 0..options.seeds {
+            let attained = |load: f64| {
+                let trace = Workload::Steady.trace(&deployment, seed, load / STEADY_LOAD);
+                let score = sim::run(&deployment, Workload::Steady, SAVORYPORT, &trace);
+                score.attained.iter().sum::<u64>() as f64
+            };
+            let (once, thrice) = (attained(1.0), attained(3.0));
+            println!("{}, {seed}: {once}, {thrice}, {:.3}", deployment.name, thrice / once);
+        }
+    }
+    Ok(())
+}
+
 fn print_results(options: &Options, results: &Results) -> Result<(), Failure> {
     println!("{}", results.table());
     println!("{}", results.target_table());
--- a/savoryport_bench/src/policy/workload.rs
+++ b/savoryport_bench/src/policy/workload.rs
@@ -12,7 +12,7 @@
 pub const SECONDS: f64 = 600.0;
 
 /// The offered load of a steady trace, as a share of what the fleet can take.
-const STEADY_LOAD: f64 = 0.6;
+pub const STEADY_LOAD: f64 = 0.6;
 
 /// What a flood offers, as a share of what the fleet can take.
 const FLOOD_LOAD: f64 = 3.0;
