--- a/savoryport/src/control/stewards.rs
+++ b/savoryport/src/control/stewards.rs
@@ -132,7 +132,7 @@
         let replica = self.cx.hub.replica();
         let server = &self.vm.name;
         let items = replica.plan.wanted(server, &replica.table);
-        let may_unload = |item: &str| may_unload(&replica, server, item);
+        let may_unload = |item: &str| replica.may_unload(server, item);
         let is_gone = |holder: &HolderId| is_gone(&replica, holder);
         let step = self.steward.next(&Wishes {
             plan_version: replica.plan.version,
@@ -267,15 +267,3 @@
         }
     }
 }
-
-/// An item may go where the plan's home of it is another server that follows this plan and answers.
-fn may_unload(replica: &Replica, server: &Name, item: &str) -> bool {
-    let Some(home) = replica.plan.home_of(item, &replica.table) else {
-        return replica.table.get(item).is_none();
-    };
-    home != server
-        && replica.residency.get(home).is_some_and(|residency| {
-            residency.plan_version >= replica.plan.version
-                && residency.loaded.iter().any(|loaded| &**loaded == item)
-        })
-}
--- a/savoryport_core/src/replica.rs
+++ b/savoryport_core/src/replica.rs
@@ -220,6 +220,21 @@
         update
     }
 
+    /// Returns whether an item stays reachable without the copy on a server.
+    ///
+    /// It does where the plan's home of it is another server whose ledger follows this plan and has
+    /// it loaded: that copy stays until a later plan names another home, and that one has it loaded.
+    pub fn may_unload(&self, server: &str, item: &str) -> bool {
+        let Some(home) = self.plan.home_of(item, &self.table) else {
+            return self.table.get(item).is_none();
+        };
+        &**home != server
+            && self.residency.get(home).is_some_and(|residency| {
+                residency.plan_version >= self.plan.version
+                    && residency.loaded.iter().any(|loaded| &**loaded == item)
+            })
+    }
+
     /// Returns the value of a mark that holds.
     pub fn mark(&self, key: &str) -> Option<&Name> {
         self.marks.get(key)?.value.as_ref()
--- /dev/null
+++ b/savoryport_core/tests/reachability_search.rs
@@ -0,0 +1,247 @@
+//! Searches interleavings of moves for one that leaves a model without any copy that answers.
+//!
+//! Several servers have holders of their own, which see plans and each other's ledgers late. Plans
+//! change at any time, answers are lost, late orders arrive, holders are replaced. The checker is the
+//! engines' own memory.
+
+use std::collections::{BTreeMap, HashMap};
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use savoryport_core::Name;
+use savoryport_core::ledger::{
+    EngineItem, EngineState, HolderId, ItemState, Order, OrderAnswer, OrderKind, ServerRecord,
+    Step, Steward, Wishes, WriteAnswer,
+};
+use savoryport_core::placement::{PlacementInput, Plan, PlannedServer, plan};
+use savoryport_core::rank::Rank;
+use savoryport_core::replica::{Replica, Residency, Update};
+use savoryport_core::table::{Kind, Row, Table};
+
+const SEEDS: u64 = 20_000;
+const STEPS: usize = 400;
+const SERVERS: usize = 3;
+const CAPACITY_MIB: u32 = 100;
+const MODELS: [(&str, u32); 5] = [("a", 45), ("b", 40), ("c", 35), ("d", 30), ("e", 25)];
+
+struct Server {
+    name: Name,
+    record: ServerRecord,
+    revision: u64,
+    highest_fence: u64,
+    items: BTreeMap<Name, (u32, bool)>,
+    steward: Steward,
+    incarnation: u64,
+    view: Replica,
+    late: Vec<Order>,
+}
+
+impl Server {
+    fn carry_out(&mut self, order: &Order) -> OrderAnswer {
+        if order.fence < self.highest_fence {
+            return OrderAnswer::Refused(self.state());
+        }
+        self.highest_fence = order.fence;
+        match order.kind {
+            OrderKind::Load => {
+                self.items.entry(order.item.clone()).or_insert((order.memory_mib, false));
+            }
+            OrderKind::Unload => drop(self.items.remove(&order.item)),
+        }
+        OrderAnswer::Taken(self.state())
+    }
+
+    fn state(&self) -> EngineState {
+        let item = |(name, (mib, is_loaded)): (&Name, &(u32, bool))| EngineItem {
+            name: name.clone(),
+            memory_mib: *mib,
+            state: if *is_loaded { ItemState::Loaded } else { ItemState::Loading },
+        };
+        EngineState {
+            incarnation: 1,
+            highest_fence: self.highest_fence,
+            items: self.items.iter().map(item).collect(),
+            draining: false,
+        }
+    }
+
+    fn answers(&self, model: &str) -> bool {
+        self.items.get(model).is_some_and(|(_, is_loaded)| *is_loaded)
+    }
+
+    fn step(&mut self, rng: &mut SmallRng) {
+        let items = self.view.plan.wanted(&self.name, &self.view.table);
+        let incarnation = self.incarnation;
+        let step = self.steward.next(&Wishes {
+            plan_version: self.view.plan.version,
+            items: &items,
+            may_unload: &|item| self.view.may_unload(&self.name, item),
+            is_gone: &|holder| holder.incarnation < incarnation,
+            may_act: true,
+            may_load: true,
+        });
+        match step {
+            Step::Read => self.steward.on_read(self.record.clone(), self.revision),
+            Step::Write { record, revision } => {
+                assert_eq!(revision, self.revision, "nobody else writes this record");
+                self.record = record.clone();
+                self.revision += 1;
+                let is_lost = rng.random_bool(0.1);
+                let answer = WriteAnswer::Written(self.revision);
+                self.steward.on_write(record, if is_lost { WriteAnswer::Unknown } else { answer });
+            }
+            Step::Send(order) => {
+                self.steward.on_send(&order);
+                let answer = self.carry_out(&order);
+                match rng.random_range(0..10) {
+                    0 => self.late.push(order),
+                    _ => self.steward.on_answer(&order, answer),
+                }
+            }
+            Step::Query => self.steward.on_query(self.state()),
+            Step::Idle => self.steward.refresh(),
+        }
+    }
+}
+
+struct World {
+    rng: SmallRng,
+    table: Table,
+    plan: Plan,
+    servers: Vec<Server>,
+    moves: u64,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let row = |(name, memory_mib): &(&str, u32)| Row {
+            kind: Kind::Model,
+            name: (*name).into(),
+            base: None,
+            memory_mib: *memory_mib,
+            weight: 1,
+            rank: Rank::Normal,
+            max_in_flight: 1,
+            first_token_ms: 1,
+            between_tokens_ms: 1,
+            min_copies: 1,
+            repeatable: true,
+        };
+        let rows = MODELS.iter().map(row).collect();
+        let table = Table { version: 1, change_id: String::new(), rows };
+        let server = |at: usize| Server {
+            name: format!("s{at}").into(),
+            record: ServerRecord::new(CAPACITY_MIB, true),
+            revision: 1,
+            highest_fence: 0,
+            items: BTreeMap::new(),
+            steward: Steward::new(HolderId { vm: format!("vm-{at}").into(), incarnation: 1 }),
+            incarnation: 1,
+            view: Replica::default(),
+            late: Vec::new(),
+        };
+        let mut world = Self {
+            rng: SmallRng::seed_from_u64(seed),
+            table,
+            plan: Plan::default(),
+            servers: (0..SERVERS).map(server).collect(),
+            moves: 0,
+        };
+        world.change_plan();
+        while !MODELS.iter().all(|(model, _)| world.is_reachable(model)) {
+            (0..SERVERS).for_each(|at| world.see(at));
+            (0..SERVERS).for_each(|at| world.servers[at].step(&mut world.rng));
+            world.finish_loads();
+        }
+        world
+    }
+
+    fn is_reachable(&self, model: &str) -> bool {
+        self.servers.iter().any(|server| server.answers(model))
+    }
+
+    fn step(&mut self) {
+        let at = self.rng.random_range(0..SERVERS);
+        match self.rng.random_range(0..100) {
+            0..70 => self.servers[at].step(&mut self.rng),
+            70..80 => self.finish_loads(),
+            80..92 => self.see(at),
+            92..96 => self.change_plan(),
+            96..98 => self.deliver_late(at),
+            _ => self.replace_holder(at),
+        }
+    }
+
+    /// Shows one server's holder some of what stands elsewhere, and perhaps the plan in force.
+    fn see(&mut self, at: usize) {
+        let other = &self.servers[self.rng.random_range(0..SERVERS)];
+        let residency = Residency::of(&other.record, other.revision);
+        let plan = self.rng.random_bool(0.5).then(|| self.plan.clone());
+        let update = Update {
+            table: Some(self.table.clone()),
+            plan,
+            residency: [(other.name.clone(), residency)].into(),
+            ..Update::default()
+        };
+        self.servers[at].view.merge(update);
+    }
+
+    /// Moves models about: any server may be left out, as one that drains.
+    fn change_plan(&mut self) {
+        let left_out = self.rng.random_range(0..SERVERS * 2);
+        let servers: Vec<PlannedServer> = (0..SERVERS)
+            .filter(|at| *at != left_out)
+            .map(|at| PlannedServer {
+                name: self.servers[at].name.clone(),
+                failure_domain: format!("d{at}").into(),
+                capacity_mib: CAPACITY_MIB,
+            })
+            .collect();
+        let hot = MODELS[self.rng.random_range(0..MODELS.len())].0;
+        let demand = HashMap::from([(Name::from(hot), 10.0)]);
+        let (table, current) = (&self.table, &self.plan);
+        let input =
+            PlacementInput { table, servers: &servers, demand: &demand, current, move_budget: 2 };
+        self.plan = plan(&input);
+    }
+
+    fn finish_loads(&mut self) {
+        for (_, is_loaded) in self.servers.iter_mut().flat_map(|server| server.items.values_mut()) {
+            self.moves += u64::from(!*is_loaded);
+            *is_loaded = true;
+        }
+    }
+
+    fn deliver_late(&mut self, at: usize) {
+        if let Some(order) = self.servers[at].late.pop() {
+            self.servers[at].carry_out(&order);
+        }
+    }
+
+    /// A holder that knows nothing yet takes the place of another.
+    fn replace_holder(&mut self, at: usize) {
+        let server = &mut self.servers[at];
+        server.incarnation += 1;
+        let id = HolderId { vm: format!("vm-{at}").into(), incarnation: server.incarnation };
+        server.steward = Steward::new(id);
+    }
+}
+
+#[test]
+fn every_model_answers_while_models_move() {
+    let mut moves = 0;
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed);
+        world.moves = 0;
+        for step in 0..STEPS {
+            world.step();
+            for (model, _) in MODELS {
+                assert!(world.is_reachable(model), "seed {seed}, step {step}: no copy of {model}");
+            }
+        }
+        moves += world.moves;
+    }
+    // A search in which nothing moves proves nothing.
+    assert!(moves > SEEDS, "only {moves} moves in {SEEDS} interleavings");
+    println!("{SEEDS} interleavings, {moves} moves, every model answered throughout");
+}
