Share the fake engine of the two searches

Both searches held the same engine (memory count, fencing, report). It stands once now, as a module of the tests; steps, seeds and checks are as they were.

--- /dev/null
+++ b/savoryport_core/tests/fake_engine/mod.rs
@@ -0,0 +1,87 @@
+//! A fake engine for the searches, whose own count of memory is the checker.
+
+// Each search uses its own part of this.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+
+use savoryport_core::Name;
+use savoryport_core::ledger::{EngineItem, EngineState, ItemState, Order, OrderAnswer, OrderKind};
+
+/// An engine that keeps its own count.
+pub struct FakeEngine {
+    capacity_mib: u32,
+    checks_fencing: bool,
+    pub incarnation: u64,
+    highest_fence: u64,
+    pub items: BTreeMap<Name, (u32, bool)>,
+    pub overcommitted: bool,
+}
+
+impl FakeEngine {
+    /// Starts an engine with empty memory.
+    pub fn new(capacity_mib: u32, checks_fencing: bool) -> Self {
+        Self {
+            capacity_mib,
+            checks_fencing,
+            incarnation: 1,
+            highest_fence: 0,
+            items: BTreeMap::new(),
+            overcommitted: false,
+        }
+    }
+
+    /// Lets every load that is under way end, and returns how many there were.
+    pub fn finish_loads(&mut self) -> u64 {
+        let mut finished = 0;
+        for (_, is_loaded) in self.items.values_mut() {
+            finished += u64::from(!*is_loaded);
+            *is_loaded = true;
+        }
+        finished
+    }
+
+    /// Replaces the engine by another process.
+    pub fn restart(&mut self) {
+        self.incarnation += 1;
+        self.highest_fence = 0;
+        self.items.clear();
+    }
+
+    /// Returns whether a model answers.
+    pub fn answers(&self, model: &str) -> bool {
+        self.items.get(model).is_some_and(|(_, is_loaded)| *is_loaded)
+    }
+
+    /// Carries an order out, or refuses it for its fencing number.
+    pub fn carry_out(&mut self, order: &Order) -> OrderAnswer {
+        if self.checks_fencing && order.fence < self.highest_fence {
+            return OrderAnswer::Refused(self.state());
+        }
+        self.highest_fence = order.fence;
+        match order.kind {
+            OrderKind::Load => {
+                self.items.entry(order.item.clone()).or_insert((order.memory_mib, false));
+            }
+            OrderKind::Unload => drop(self.items.remove(&order.item)),
+        }
+        let used: u32 = self.items.values().map(|(mib, _)| mib).sum();
+        self.overcommitted |= used > self.capacity_mib;
+        OrderAnswer::Taken(self.state())
+    }
+
+    /// Returns what the engine says of itself.
+    pub fn state(&self) -> EngineState {
+        let item = |(name, (mib, is_loaded)): (&Name, &(u32, bool))| EngineItem {
+            name: name.clone(),
+            memory_mib: *mib,
+            state: if *is_loaded { ItemState::Loaded } else { ItemState::Loading },
+        };
+        EngineState {
+            incarnation: self.incarnation,
+            highest_fence: if self.checks_fencing { self.highest_fence } else { 0 },
+            items: self.items.iter().map(item).collect(),
+            draining: false,
+        }
+    }
+}
--- a/savoryport_core/tests/ledger_search.rs
+++ b/savoryport_core/tests/ledger_search.rs
@@ -5,17 +5,19 @@
 //! late writes, restarts of engines and of control processes. `SAVORYPORT_SEARCH_SEEDS` sets how
 //! many seeds are tried, `SAVORYPORT_SEARCH_FIRST` the first.
 
-use std::collections::BTreeMap;
+mod fake_engine;
+
 use std::sync::Arc;
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use savoryport_core::Name;
 use savoryport_core::ledger::{
-    EngineItem, EngineState, HolderId, ItemState, Order, OrderAnswer, OrderKind, ServerRecord,
-    Step, Steward, WantedItem, Wishes, WriteAnswer,
+    EngineState, HolderId, Order, OrderAnswer, ServerRecord, Step, Steward, WantedItem, Wishes,
+    WriteAnswer,
 };
 
+use fake_engine::FakeEngine;
+
 /// Seeds tried for each kind of engine; the two together are above 100,000.
 const DEFAULT_SEEDS: u64 = 60_000;
 
@@ -27,47 +29,6 @@
 /// Models that fill the memory in pairs, so that a forgotten one overcommits it.
 const MODELS: [(&str, u32); 4] = [("a", 60), ("b", 50), ("c", 40), ("d", 30)];
 
-/// An engine that keeps its own count.
-struct Engine {
-    checks_fencing: bool,
-    incarnation: u64,
-    highest_fence: u64,
-    items: BTreeMap<Name, (u32, bool)>,
-    overcommitted: bool,
-}
-
-impl Engine {
-    fn carry_out(&mut self, order: &Order) -> OrderAnswer {
-        if self.checks_fencing && order.fence < self.highest_fence {
-            return OrderAnswer::Refused(self.state());
-        }
-        self.highest_fence = order.fence;
-        match order.kind {
-            OrderKind::Load => {
-                self.items.entry(order.item.clone()).or_insert((order.memory_mib, false));
-            }
-            OrderKind::Unload => drop(self.items.remove(&order.item)),
-        }
-        let used: u32 = self.items.values().map(|(mib, _)| mib).sum();
-        self.overcommitted |= used > CAPACITY_MIB;
-        OrderAnswer::Taken(self.state())
-    }
-
-    fn state(&self) -> EngineState {
-        let item = |(name, (mib, is_loaded)): (&Name, &(u32, bool))| EngineItem {
-            name: name.clone(),
-            memory_mib: *mib,
-            state: if *is_loaded { ItemState::Loaded } else { ItemState::Loading },
-        };
-        EngineState {
-            incarnation: self.incarnation,
-            highest_fence: if self.checks_fencing { self.highest_fence } else { 0 },
-            items: self.items.iter().map(item).collect(),
-            draining: false,
-        }
-    }
-}
-
 /// A control process, with the one step that it has under way.
 struct Control {
     steward: Steward,
@@ -101,7 +62,7 @@
     rng: SmallRng,
     record: ServerRecord,
     revision: u64,
-    engine: Engine,
+    engine: FakeEngine,
     controls: Vec<Control>,
     /// The control process that has the lease.
     holder: usize,
@@ -116,13 +77,7 @@
 
 impl World {
     fn new(seed: u64, checks_fencing: bool) -> Self {
-        let engine = Engine {
-            checks_fencing,
-            incarnation: 1,
-            highest_fence: 0,
-            items: BTreeMap::new(),
-            overcommitted: false,
-        };
+        let engine = FakeEngine::new(CAPACITY_MIB, checks_fencing);
         let mut world = Self {
             rng: SmallRng::seed_from_u64(seed),
             record: ServerRecord::new(CAPACITY_MIB, checks_fencing),
@@ -279,10 +234,7 @@
     }
 
     fn finish_load(&mut self) {
-        for (_, is_loaded) in self.engine.items.values_mut() {
-            self.loads_confirmed += u64::from(!*is_loaded);
-            *is_loaded = true;
-        }
+        self.loads_confirmed += self.engine.finish_loads();
     }
 
     fn change_plan(&mut self) {
@@ -347,9 +299,7 @@
     }
 
     fn restart_engine(&mut self) {
-        self.engine.incarnation += 1;
-        self.engine.highest_fence = 0;
-        self.engine.items.clear();
+        self.engine.restart();
     }
 }
 
--- a/savoryport_core/tests/reachability_search.rs
+++ b/savoryport_core/tests/reachability_search.rs
@@ -4,20 +4,21 @@
 //! change at any time, answers are lost, late orders arrive, holders are replaced. The checker is the
 //! engines' own memory.
 
-use std::collections::{BTreeMap, HashMap};
+mod fake_engine;
+
+use std::collections::HashMap;
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use savoryport_core::Name;
-use savoryport_core::ledger::{
-    EngineItem, EngineState, HolderId, ItemState, Order, OrderAnswer, OrderKind, ServerRecord,
-    Step, Steward, Wishes, WriteAnswer,
-};
+use savoryport_core::ledger::{HolderId, Order, ServerRecord, Step, Steward, Wishes, WriteAnswer};
 use savoryport_core::placement::{PlacementInput, Plan, PlannedServer, plan};
 use savoryport_core::rank::Rank;
 use savoryport_core::replica::{Replica, Residency, Update};
 use savoryport_core::table::{Kind, Row, Table};
 
+use fake_engine::FakeEngine;
+
 const SEEDS: u64 = 20_000;
 const STEPS: usize = 400;
 const SERVERS: usize = 3;
@@ -28,8 +29,7 @@
     name: Name,
     record: ServerRecord,
     revision: u64,
-    highest_fence: u64,
-    items: BTreeMap<Name, (u32, bool)>,
+    engine: FakeEngine,
     steward: Steward,
     incarnation: u64,
     view: Replica,
@@ -37,38 +37,6 @@
 }
 
 impl Server {
-    fn carry_out(&mut self, order: &Order) -> OrderAnswer {
-        if order.fence < self.highest_fence {
-            return OrderAnswer::Refused(self.state());
-        }
-        self.highest_fence = order.fence;
-        match order.kind {
-            OrderKind::Load => {
-                self.items.entry(order.item.clone()).or_insert((order.memory_mib, false));
-            }
-            OrderKind::Unload => drop(self.items.remove(&order.item)),
-        }
-        OrderAnswer::Taken(self.state())
-    }
-
-    fn state(&self) -> EngineState {
-        let item = |(name, (mib, is_loaded)): (&Name, &(u32, bool))| EngineItem {
-            name: name.clone(),
-            memory_mib: *mib,
-            state: if *is_loaded { ItemState::Loaded } else { ItemState::Loading },
-        };
-        EngineState {
-            incarnation: 1,
-            highest_fence: self.highest_fence,
-            items: self.items.iter().map(item).collect(),
-            draining: false,
-        }
-    }
-
-    fn answers(&self, model: &str) -> bool {
-        self.items.get(model).is_some_and(|(_, is_loaded)| *is_loaded)
-    }
-
     fn step(&mut self, rng: &mut SmallRng) {
         let items = self.view.plan.wanted(&self.name, &self.view.table);
         let incarnation = self.incarnation;
@@ -92,13 +60,13 @@
             }
             Step::Send(order) => {
                 self.steward.on_send(&order);
-                let answer = self.carry_out(&order);
+                let answer = self.engine.carry_out(&order);
                 match rng.random_range(0..10) {
                     0 => self.late.push(order),
                     _ => self.steward.on_answer(&order, answer),
                 }
             }
-            Step::Query => self.steward.on_query(self.state()),
+            Step::Query => self.steward.on_query(self.engine.state()),
             Step::Idle => self.steward.refresh(),
         }
     }
@@ -133,8 +101,7 @@
             name: format!("s{at}").into(),
             record: ServerRecord::new(CAPACITY_MIB, true),
             revision: 1,
-            highest_fence: 0,
-            items: BTreeMap::new(),
+            engine: FakeEngine::new(CAPACITY_MIB, true),
             steward: Steward::new(HolderId { vm: format!("vm-{at}").into(), incarnation: 1 }),
             incarnation: 1,
             view: Replica::default(),
@@ -157,7 +124,7 @@
     }
 
     fn is_reachable(&self, model: &str) -> bool {
-        self.servers.iter().any(|server| server.answers(model))
+        self.servers.iter().any(|server| server.engine.answers(model))
     }
 
     fn step(&mut self) {
@@ -206,15 +173,14 @@
     }
 
     fn finish_loads(&mut self) {
-        for (_, is_loaded) in self.servers.iter_mut().flat_map(|server| server.items.values_mut()) {
-            self.moves += u64::from(!*is_loaded);
-            *is_loaded = true;
+        for server in &mut self.servers {
+            self.moves += server.engine.finish_loads();
         }
     }
 
     fn deliver_late(&mut self, at: usize) {
         if let Some(order) = self.servers[at].late.pop() {
-            self.servers[at].carry_out(&order);
+            self.servers[at].engine.carry_out(&order);
         }
     }
 
