Say when the shares of the weight store exceed its limit

The pages said that the sum never exceeds the limit, but a group always gets one slot, so with more failure domains than slots it does. Only words change: a group without a slot could never load anything, and beyond its limit the store is slower, not unsafe.

--- a/savoryport/src/control/stewards.rs
+++ b/savoryport/src/control/stewards.rs
@@ -69,6 +69,7 @@
     groups.dedup();
     let index = groups.iter().position(|other| *other == group).unwrap_or(0);
     let share = grant::share(cx.settings.weight_store_slots, groups.len(), index);
+    // A group without a slot could never load anything; better that loads take longer.
     Arc::new(Semaphore::new(share.max(1) as usize))
 }
 
--- a/savoryport_core/src/grant.rs
+++ b/savoryport_core/src/grant.rs
@@ -1,7 +1,8 @@
 //! Shares of the weight store's limits.
 //!
-//! Each group of servers has a fixed share, so that the sum never exceeds the limit without a
-//! single message; `docs/DESIGN.md` weighs this against expiring grants and a token that travels.
+//! Each group of servers has a fixed share, so that the sum keeps the limit without a single message
+//! while there are no more groups than slots; `docs/DESIGN.md` weighs this against expiring grants
+//! and a token that travels.
 
 /// Returns how many of `slots` parallel loads the group at `index` of `groups` may use.
 ///
