--- /dev/null
+++ b/savoryport/src/bin/node.rs
@@ -0,0 +1,79 @@
+//! The process that runs on each VM of a platform deployment.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use lexopt::prelude::*;
+use savoryport::node;
+use savoryport::node::settings::NodeSettings;
+use tokio_util::sync::CancellationToken;
+
+const PROGRAM: &str = "savoryport-node";
+
+/// The variable that names the settings file where no argument does.
+const SETTINGS_VARIABLE: &str = "SAVORYPORT_BOOT";
+
+/// The exit status for bad arguments or settings.
+const EXIT_USAGE: u8 = 2;
+
+const USAGE: &str = "\
+Usage: savoryport-node [--settings FILE.json]
+
+Without --settings the file that SAVORYPORT_BOOT names is read. See man savoryport-node.";
+
+fn main() -> ExitCode {
+    let path = match settings_path() {
+        Ok(Some(path)) => path,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(err) => return fail(&err.to_string()),
+    };
+    let checked = match NodeSettings::read(&path) {
+        Ok(checked) => checked,
+        Err(err) => return fail(&err.to_string()),
+    };
+    savoryport::logging::start_json(&checked.settings.log_level);
+    for key in checked.unknown {
+        log::warn!(key = key.as_str(); "unknown key in the settings");
+    }
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(err) => return fail(&err.to_string()),
+    };
+    let ended = runtime.block_on(async {
+        let stopping = CancellationToken::new();
+        tokio::spawn(savoryport::daemon::cancel_on_signal(stopping.clone()));
+        tokio::spawn(savoryport::daemon::note_reloads());
+        node::run(checked.settings, stopping).await
+    });
+    savoryport::logging::flush();
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => fail(&err.to_string()),
+    }
+}
+
+fn settings_path() -> Result<Option<PathBuf>, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_env();
+    let mut path = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("settings") => path = Some(parser.value()?.into()),
+            Long("help") => {
+                println!("{USAGE}");
+                return Ok(None);
+            }
+            Long("version") => {
+                println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
+                return Ok(None);
+            }
+            other => return Err(other.unexpected()),
+        }
+    }
+    let missing = || "no settings: use --settings FILE.json or set SAVORYPORT_BOOT".into();
+    path.map(Some).ok_or_else(missing)
+}
+
+fn fail(problem: &str) -> ExitCode {
+    eprintln!("{PROGRAM}: {problem}");
+    ExitCode::from(EXIT_USAGE)
+}
--- a/savoryport/src/daemon.rs
+++ b/savoryport/src/daemon.rs
@@ -82,7 +82,17 @@
     ExitCode::from(EXIT_USAGE)
 }
 
-async fn cancel_on_signal(cancel: CancellationToken) {
+/// Logs each request to reload. A platform may send one for any change of the settings file; what
+/// it holds is fixed for the life of a process.
+pub async fn note_reloads() {
+    let Ok(mut hangups) = signal(SignalKind::hangup()) else { return };
+    while hangups.recv().await.is_some() {
+        log::info!("asked to reload; settings are read at the next start");
+    }
+}
+
+/// Cancels the token when the process is asked to stop.
+pub async fn cancel_on_signal(cancel: CancellationToken) {
     let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
     tokio::select! {
         _ = terminate.recv() => {}
--- a/savoryport/src/lib.rs
+++ b/savoryport/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod keys;
 pub mod logging;
 pub mod metrics;
+pub mod node;
 pub mod rpc;
 pub mod settings;
--- /dev/null
+++ b/savoryport/src/node/desk.rs
@@ -0,0 +1,366 @@
+//! The duty of giving orders to the servers of one failure domain.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use savoryport_core::Name;
+use savoryport_core::node::deployment::EngineClass;
+use savoryport_core::node::duty::Duty;
+use savoryport_core::node::orders::EngineLedger;
+use savoryport_core::node::placement::{
+    DemandAverage, LoadAllowance, Move, PlacementInput, PlacementServer, WeightSource, load_time,
+    next_move, weight_source,
+};
+use savoryport_core::node::registry::BackendServer;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::context::NodeContext;
+use super::engine::{Command, EngineHandle, counts_as_load};
+use super::rpc::WishReply;
+use super::view::View;
+
+/// A wish for a model that nobody holds counts as demand for this long.
+const WISH_LIFETIME: Duration = Duration::from_millis(1_500);
+
+/// Loads that one look at the placement may begin.
+const MAX_MOVES_PER_LOOK: usize = 4;
+
+/// The time that an adapter may take before a request looks elsewhere.
+const ADAPTER_PATIENCE: Duration = Duration::from_millis(400);
+
+/// The desks of this node, by failure domain.
+#[derive(Debug, Default)]
+pub struct Desks(Mutex<HashMap<Name, Arc<Desk>>>);
+
+/// One duty that this node holds.
+#[derive(Debug)]
+pub struct Desk {
+    /// The failure domain.
+    pub domain: Name,
+    /// Cancelled when the duty is lost or given up.
+    pub cancel: CancellationToken,
+    /// The store's lease of the duty.
+    pub lease: AtomicU64,
+    duty: Mutex<Duty>,
+    engines: Mutex<HashMap<Name, EngineHandle>>,
+    planner: Mutex<Planner>,
+}
+
+#[derive(Debug, Default)]
+struct Planner {
+    demand: DemandAverage,
+    allowance: Option<LoadAllowance>,
+    /// Models that requests wait for, and since when.
+    wishes: HashMap<Name, Instant>,
+    loaded_at: HashMap<Name, HashMap<Name, Instant>>,
+}
+
+impl Desks {
+    /// Returns whether this node holds the duty of a failure domain.
+    pub fn holds(&self, domain: &str) -> bool {
+        self.0.lock().expect("no holder panics").contains_key(domain)
+    }
+
+    /// Returns whether this node holds any duty.
+    pub fn holds_any(&self) -> bool {
+        !self.0.lock().expect("no holder panics").is_empty()
+    }
+
+    /// Returns every desk.
+    pub fn all(&self) -> Vec<Arc<Desk>> {
+        self.0.lock().expect("no holder panics").values().cloned().collect()
+    }
+
+    /// Opens a desk and starts its work.
+    pub fn open(&self, cx: &Arc<NodeContext>, desk: Desk) -> Arc<Desk> {
+        let desk = Arc::new(desk);
+        self.0.lock().expect("no holder panics").insert(desk.domain.clone(), desk.clone());
+        let plan = plan(cx.clone(), desk.clone());
+        tokio::spawn(desk.cancel.clone().run_until_cancelled_owned(plan));
+        desk
+    }
+
+    /// Closes a desk: no order leaves it any more.
+    pub fn close(&self, desk: &Desk) {
+        desk.cancel.cancel();
+        desk.duty.lock().expect("no holder panics").lost();
+        self.0.lock().expect("no holder panics").remove(&desk.domain);
+    }
+
+    /// Brings an adapter to a server; returns when it can be used.
+    pub async fn want_adapter(
+        &self,
+        cx: &Arc<NodeContext>,
+        server: &Name,
+        model: &Name,
+        adapter: &Name,
+    ) -> WishReply {
+        let domain = cx.fleet.view().servers.get(server).map(|known| known.failure_domain.clone());
+        let desk = domain.and_then(|domain| {
+            self.0.lock().expect("no holder panics").get(&domain).cloned()
+        });
+        let Some(desk) = desk.filter(|desk| desk.may_order(cx).is_some()) else {
+            return WishReply::Unavailable;
+        };
+        let Some(engine) = desk.engine(server) else { return WishReply::Unavailable };
+        let (reply, answer) = oneshot::channel();
+        let (model, adapter) = (model.clone(), adapter.clone());
+        engine.send(Command::Adapter { model, adapter, reply });
+        match tokio::time::timeout(ADAPTER_PATIENCE, answer).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) | Err(_) => WishReply::Unavailable,
+        }
+    }
+
+    /// Notes that requests wait for a model, and tells how long it will take.
+    pub fn want_model(&self, cx: &NodeContext, service: &str, model: &Name) -> WishReply {
+        let view = cx.fleet.view();
+        let Some(spec) = view.deployment().and_then(|known| known.model(service, model)) else {
+            return WishReply::Unavailable;
+        };
+        let domain = &cx.settings.failure_domain;
+        let desk = self.0.lock().expect("no holder panics").get(domain).cloned();
+        let Some(desk) = desk.filter(|desk| desk.may_order(cx).is_some()) else {
+            return WishReply::Unavailable;
+        };
+        desk.planner.lock().expect("no holder panics").wishes.insert(model.clone(), cx.now());
+        let sources = view
+            .servers
+            .values()
+            .filter(|server| server.failure_domain == *domain && server.is_ready())
+            .map(|server| weight_source(server, model));
+        let source = sources.min().unwrap_or(WeightSource::Store);
+        WishReply::Loading(load_time(spec, source).as_millis() as u64)
+    }
+}
+
+impl Desk {
+    /// Makes a desk for a duty that was won.
+    pub fn new(domain: Name, lease: u64, duty: Duty) -> Self {
+        Self {
+            domain,
+            cancel: CancellationToken::new(),
+            lease: AtomicU64::new(lease),
+            duty: Mutex::new(duty),
+            engines: Mutex::default(),
+            planner: Mutex::default(),
+        }
+    }
+
+    /// Returns the fencing token if an order may be given now.
+    pub fn may_order(&self, cx: &NodeContext) -> Option<u64> {
+        if cx.stopping.is_cancelled() || self.cancel.is_cancelled() {
+            return None;
+        }
+        self.duty.lock().expect("no holder panics").may_order(cx.lease_clock.now())
+    }
+
+    /// Notes a renewal that was sent at this time of the lease clock.
+    pub fn renewed(&self, asked_at: Instant) {
+        self.duty.lock().expect("no holder panics").renewed(asked_at);
+    }
+
+    /// Returns the id of the store's lease.
+    pub fn lease_id(&self) -> u64 {
+        self.lease.load(Ordering::Relaxed)
+    }
+
+    fn engine(&self, server: &str) -> Option<EngineHandle> {
+        self.engines.lock().expect("no holder panics").get(server).cloned()
+    }
+
+    /// Starts tasks for new engines and drops those of engines that are gone.
+    fn follow_servers(self: &Arc<Self>, cx: &Arc<NodeContext>, servers: &[Arc<BackendServer>]) {
+        let mut engines = self.engines.lock().expect("no holder panics");
+        engines.retain(|id, _| servers.iter().any(|server| server.id == *id));
+        for server in servers {
+            if !engines.contains_key(&server.id) {
+                let handle = EngineHandle::start(cx, self, &server.id);
+                engines.insert(server.id.clone(), handle);
+            }
+        }
+    }
+}
+
+/// Looks at the placement of models from time to time.
+async fn plan(cx: Arc<NodeContext>, desk: Arc<Desk>) {
+    let period = Duration::from_millis(cx.settings.placement_period_ms);
+    loop {
+        tokio::time::sleep(period).await;
+        let view = cx.fleet.view();
+        let Some(deployment) = view.deployment() else { continue };
+        for service in deployment.services.values() {
+            let Some(class) = &service.engine else { continue };
+            let servers: Vec<Arc<BackendServer>> = view
+                .servers
+                .values()
+                .filter(|server| server.service == service.name)
+                .filter(|server| server.failure_domain == desk.domain && server.is_ready())
+                .cloned()
+                .collect();
+            desk.follow_servers(&cx, &servers);
+            if desk.may_order(&cx).is_some() {
+                note_adapter_uses(&cx, &desk);
+                look(&cx, &desk, &view, &service.name, class, &servers);
+            }
+        }
+    }
+}
+
+fn note_adapter_uses(cx: &NodeContext, desk: &Desk) {
+    let engines = desk.engines.lock().expect("no holder panics");
+    for engine in engines.values() {
+        engine.ledger().clear_uses();
+    }
+    let own = cx.boards.lock().adapters_in_use();
+    for usage in cx.hub.adapters_in_use().into_iter().chain(own) {
+        if let Some(engine) = engines.get(&usage.server) {
+            let mut ledger = engine.ledger();
+            ledger.note_use(&usage.model, &usage.adapter, usage.requests, cx.now());
+        }
+    }
+}
+
+fn look(
+    cx: &NodeContext,
+    desk: &Desk,
+    view: &View,
+    service: &Name,
+    class: &EngineClass,
+    servers: &[Arc<BackendServer>],
+) {
+    let now = cx.now();
+    let mut planner = desk.planner.lock().expect("no holder panics");
+    if desk.domain == cx.settings.failure_domain {
+        let work = cx.hub.take_work();
+        planner.demand.observe(&work, now);
+    }
+    planner.wishes.retain(|_, at| now.saturating_duration_since(*at) < WISH_LIFETIME);
+    let holders = holders_by_model(view, service);
+    let owned = owned_models(view, service, class, &desk.domain);
+    let demand = planner.demand_with_wishes();
+    for _ in 0..MAX_MOVES_PER_LOOK {
+        let chosen = planner.choose(cx, desk, class, servers, &holders, &owned, &demand);
+        let Some(chosen) = chosen else { return };
+        planner.note(&chosen, now);
+        cx.metrics.loads.inc();
+        log::info!(
+            server = &*chosen.server, model = &*chosen.load, source:? = chosen.source,
+            unload:? = chosen.unload, value = chosen.value; "move decided"
+        );
+        if let Some(engine) = desk.engine(&chosen.server) {
+            engine.send(Command::Move(chosen));
+        }
+    }
+}
+
+impl Planner {
+    fn demand_with_wishes(&self) -> HashMap<Name, f64> {
+        /// The demand that a wish stands for, enough for a first copy.
+        const WISH_DEMAND: f64 = 0.1;
+        let mut demand = self.demand.demand();
+        for model in self.wishes.keys() {
+            let known = demand.entry(model.clone()).or_default();
+            *known = known.max(WISH_DEMAND);
+        }
+        demand
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn choose(
+        &mut self,
+        cx: &NodeContext,
+        desk: &Desk,
+        class: &EngineClass,
+        servers: &[Arc<BackendServer>],
+        holders: &HashMap<Name, Vec<Name>>,
+        owned: &BTreeSet<Name>,
+        demand: &HashMap<Name, f64>,
+    ) -> Option<Move> {
+        let now = cx.now();
+        let window = Duration::from_secs_f64(cx.settings.load_window_s);
+        let domains = cx.settings.failure_domains.len();
+        let allowance = self.allowance.get_or_insert_with(|| {
+            let mut allowance = LoadAllowance::new(class.loads_per_s, window, domains);
+            if !cx.settings.first_start {
+                allowance.assume_used(now);
+            }
+            allowance
+        });
+        let may_use_store = allowance.may_begin(now);
+        let no_loads = HashMap::new();
+        let options: Vec<PlacementServer<'_>> = servers
+            .iter()
+            .filter_map(|server| {
+                let engine = desk.engine(&server.id)?;
+                let ledger = engine.ledger();
+                let is_open = !engine.is_moving()
+                    && ledger.expected_orders().is_some()
+                    && !ledger.is_busy(now);
+                Some(PlacementServer {
+                    server,
+                    models: ledger.models().cloned().collect(),
+                    free_mb: ledger.free_mb(class),
+                    is_open,
+                    loaded_at: self.loaded_at.get(&server.id).unwrap_or(&no_loads),
+                })
+            })
+            .collect();
+        let input = PlacementInput {
+            class,
+            servers: &options,
+            holders,
+            owned,
+            demand,
+            may_use_store,
+            now,
+        };
+        next_move(&input)
+    }
+
+    fn note(&mut self, chosen: &Move, now: Instant) {
+        if counts_as_load(chosen.source) && let Some(allowance) = &mut self.allowance {
+            allowance.begin(now);
+        }
+        let loaded = self.loaded_at.entry(chosen.server.clone()).or_default();
+        loaded.insert(chosen.load.clone(), now);
+    }
+}
+
+/// Returns the ready servers that hold each model.
+fn holders_by_model(view: &View, service: &str) -> HashMap<Name, Vec<Name>> {
+    let mut holders: HashMap<Name, Vec<Name>> = HashMap::new();
+    let servers = view.servers.values().filter(|server| &*server.service == service);
+    for server in servers.filter(|server| server.is_ready()) {
+        for model in &server.models {
+            holders.entry(model.name.clone()).or_default().push(server.id.clone());
+        }
+    }
+    holders
+}
+
+/// Returns the models that this failure domain brings back when nobody holds them. Each model belongs
+/// to one of the domains that have servers.
+fn owned_models(view: &View, service: &str, class: &EngineClass, domain: &str) -> BTreeSet<Name> {
+    let servers = view.servers.values().filter(|server| &*server.service == service);
+    let domains: BTreeSet<&Name> = servers
+        .filter(|server| server.is_ready())
+        .map(|server| &server.failure_domain)
+        .collect();
+    let owner = |model: &Name| {
+        let seed = xxh3_64_with_seed(model.as_bytes(), 0);
+        domains.iter().min_by_key(|domain| xxh3_64_with_seed(domain.as_bytes(), seed)).copied()
+    };
+    let owned = class.models.keys().filter(|model| owner(model).is_some_and(|own| &**own == domain));
+    owned.cloned().collect()
+}
+
+/// Returns what a desk knows of its engines, for the status page.
+pub fn ledgers(desk: &Desk) -> Vec<(Name, EngineLedger)> {
+    let engines = desk.engines.lock().expect("no holder panics");
+    engines.iter().map(|(id, engine)| (id.clone(), engine.ledger().clone())).collect()
+}
--- /dev/null
+++ b/savoryport/src/node/dispatch.rs
@@ -0,0 +1,256 @@
+//! Picks the server for a request, and has adapters and models brought where they are needed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use savoryport_core::Name;
+use savoryport_core::node::admission::{Prospect, Verdict, judge, retry_after};
+use savoryport_core::node::registry::BackendServer;
+use savoryport_core::node::request::Generation;
+use savoryport_core::node::selection::{Candidate, Demanded, Distance, choose};
+
+use super::answer::{Cause, Refusal};
+use super::relay::Relay;
+use super::rpc::WishReply;
+use super::view::View;
+
+/// Picks that one attempt may make before it is given up.
+const MAX_PICKS: usize = 6;
+
+/// The time for a wish to another node.
+const WISH_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// How much longer than announced a load of a model is waited for.
+const LOAD_GRACE: Duration = Duration::from_millis(800);
+
+/// The share of the time left that a load of a model may take.
+const LOAD_SHARE: f64 = 0.6;
+
+/// Milliseconds of a server's time for one generated token, which it shares with its whole batch.
+const MS_PER_OUTPUT_TOKEN: f64 = 0.05;
+
+/// A caller comes back after this time where servers or their order givers are missing.
+const COME_BACK: Duration = Duration::from_millis(600);
+
+/// The server that a request goes to.
+pub struct Picked {
+    /// The server.
+    pub server: Arc<BackendServer>,
+    /// The engine's priority, where the server is one.
+    pub priority: Option<u8>,
+    /// Milliseconds of prefill that the request needs there.
+    pub prefill_ms: f32,
+    /// The expected time to the first token, or to the answer.
+    pub expected: Duration,
+}
+
+/// What one look at the servers brought.
+enum Look {
+    Picked(Picked, /* lacks the adapter */ bool),
+    NoModel,
+    NoServer,
+    Overload(Duration),
+}
+
+impl Relay {
+    /// Counts the work that this request asks for.
+    pub(super) fn note_work(&self) {
+        let Some(asked) = &self.head.generation else { return };
+        let view = self.cx.fleet.view();
+        let candidates = self.candidates(&view);
+        let mut boards = self.cx.boards.lock();
+        let demanded = self.demanded();
+        let prefill = choose(candidates.iter().map(|(candidate, _)| *candidate), &demanded, &boards.selection(self.arrived))
+            .map_or_else(|| boards.speeds.prefill_ms(&asked.model, asked.prompt_tokens), |choice| f64::from(choice.prefill_ms));
+        let work = prefill + MS_PER_OUTPUT_TOKEN * f64::from(asked.output_tokens);
+        *boards.work_ms.entry(asked.model.clone()).or_default() += work;
+    }
+
+    /// Picks a server; waits for an adapter or a model if it will come in time.
+    pub(super) async fn pick(&mut self) -> Result<Picked, Refusal> {
+        if !self.may_send() {
+            return Err(Refusal::retry(Cause::NotRun, COME_BACK.mul_f64(1.0 + self.cx.draw())));
+        }
+        let mut waited_for_model = false;
+        for _ in 0..MAX_PICKS {
+            match self.look() {
+                Look::Picked(picked, false) => return Ok(picked),
+                Look::Picked(picked, true) => {
+                    if self.bring_adapter(&picked.server).await {
+                        return Ok(picked);
+                    }
+                    self.avoided.push(picked.server.id.clone());
+                }
+                Look::NoModel if !waited_for_model => {
+                    self.await_model().await?;
+                    waited_for_model = true;
+                }
+                Look::NoModel => return Err(self.later(Cause::NoModel)),
+                Look::NoServer => return Err(self.later(Cause::NoServer)),
+                Look::Overload(wait) => return Err(Refusal::retry(Cause::Overload, wait)),
+            }
+        }
+        Err(self.later(Cause::NoAdapter))
+    }
+
+    fn later(&self, cause: Cause) -> Refusal {
+        Refusal::retry(cause, retry_after(COME_BACK, self.cx.draw()))
+    }
+
+    fn demanded(&self) -> Demanded<'_> {
+        Demanded {
+            generation: self.head.generation.as_ref(),
+            keys: &self.keys,
+            service: &self.service,
+            rank: self.route.rank,
+        }
+    }
+
+    fn look(&self) -> Look {
+        let view = self.cx.fleet.view();
+        let candidates = self.candidates(&view);
+        if candidates.is_empty() {
+            let holds = |server: &&Arc<BackendServer>| {
+                self.head.generation.as_ref().is_some_and(|asked| server.holds(&asked.model))
+            };
+            let mut ready = self.ready(&view);
+            return match &self.head.generation {
+                Some(_) if ready.any(|server| holds(&server)) => Look::NoServer,
+                Some(_) => Look::NoModel,
+                None => Look::NoServer,
+            };
+        }
+        let now = self.cx.now();
+        let boards = self.cx.boards.lock();
+        let selection = boards.selection(now);
+        let demanded = self.demanded();
+        let options = candidates.iter().map(|(candidate, _)| *candidate);
+        let Some(choice) = choose(options, &demanded, &selection) else { return Look::NoServer };
+        let prospect = Prospect {
+            rank: self.route.rank,
+            expected: choice.expected,
+            elapsed: now - self.arrived,
+            target: self.route.target,
+            left: self.left(),
+        };
+        let priority = match judge(&prospect, self.cx.draw()) {
+            Verdict::Serve { priority } => priority,
+            Verdict::Refuse { retry_after } => return Look::Overload(retry_after),
+        };
+        let chosen = candidates
+            .iter()
+            .find(|(candidate, _)| candidate.server.id == choice.candidate.server.id)
+            .map(|(_, server)| (*server).clone());
+        let Some(server) = chosen else { return Look::NoServer };
+        let picked = Picked {
+            server,
+            priority: self.head.generation.as_ref().map(|_| priority),
+            prefill_ms: choice.prefill_ms,
+            expected: choice.expected,
+        };
+        Look::Picked(picked, choice.candidate.lacks_adapter)
+    }
+
+    fn ready<'a>(&'a self, view: &'a View) -> impl Iterator<Item = &'a Arc<BackendServer>> {
+        view.servers.values().filter(|server| server.service == self.service && server.is_ready())
+    }
+
+    fn candidates<'a>(&'a self, view: &'a View) -> Vec<(Candidate<'a>, &'a Arc<BackendServer>)> {
+        let nodes = view.members.len().max(1) as u32;
+        let limit = self.deployment.services.get(&self.service).map(|known| known.connection_limit);
+        let share = limit.map_or(u32::MAX, |limit| (limit / nodes).max(1));
+        let boards = self.cx.boards.lock();
+        let own = boards.loads.own();
+        self.ready(view)
+            .filter(|server| !self.tried.contains(&server.id) && !self.avoided.contains(&server.id))
+            .filter(|server| own.get(&server.id).is_none_or(|load| load.running < share))
+            .filter_map(|server| {
+                let lacks_adapter = lacks_adapter(server, self.head.generation.as_ref())?;
+                let distance = self.distance(server);
+                Some((Candidate { server, distance, lacks_adapter }, server))
+            })
+            .collect()
+    }
+
+    fn distance(&self, server: &BackendServer) -> Distance {
+        let settings = &self.cx.settings;
+        if server.failure_domain == settings.failure_domain {
+            return Distance::Near;
+        }
+        match settings.region_of(&server.failure_domain) {
+            Some(region) if *region == settings.region => Distance::Region,
+            _ => Distance::Far,
+        }
+    }
+
+    /// Has an adapter loaded at a server; returns whether it can be used.
+    async fn bring_adapter(&self, server: &BackendServer) -> bool {
+        let Some(asked) = &self.head.generation else { return false };
+        let Some(adapter) = &asked.adapter else { return true };
+        let cx = &self.cx;
+        let wanted = (server.id.clone(), asked.model.clone(), adapter.clone());
+        if cx.desks.holds(&server.failure_domain) {
+            let (server, model, adapter) = &wanted;
+            return cx.desks.want_adapter(cx, server, model, adapter).await == WishReply::Ready;
+        }
+        let holder = cx.fleet.read(|state| state.holder(&server.failure_domain).cloned());
+        let Some(holder) = holder else { return false };
+        let wish = async {
+            let connection = cx.peers.get(holder.peers).await?;
+            connection.want_adapter(wanted, WISH_TIMEOUT).await
+        };
+        let within = WISH_TIMEOUT.min(self.left());
+        matches!(tokio::time::timeout(within, wish).await, Ok(Ok(WishReply::Ready)))
+    }
+
+    /// Waits until some server holds the model, if that is soon enough.
+    async fn await_model(&self) -> Result<(), Refusal> {
+        let Some(asked) = &self.head.generation else { return Ok(()) };
+        let Some(expected) = self.wish_for_model(&asked.model).await else {
+            return Err(self.later(Cause::NoModel));
+        };
+        let is_on_time = self.cx.now() - self.arrived + expected < self.route.target;
+        if !is_on_time && expected > self.left().mul_f64(LOAD_SHARE) {
+            return Err(Refusal::retry(Cause::NoModel, retry_after(expected, self.cx.draw())));
+        }
+        let mut views = self.cx.fleet.subscribe();
+        let held = views.wait_for(|view| self.ready(view).any(|server| server.holds(&asked.model)));
+        let within = (expected + LOAD_GRACE).min(self.left());
+        match tokio::time::timeout(within, held).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(self.later(Cause::NoModel)),
+        }
+    }
+
+    /// Tells the order giver that a model is missing; returns when it will be there.
+    async fn wish_for_model(&self, model: &Name) -> Option<Duration> {
+        let cx = &self.cx;
+        let domain = &cx.settings.failure_domain;
+        let reply = if cx.desks.holds(domain) {
+            cx.desks.want_model(cx, &self.service, model)
+        } else {
+            let holder = cx.fleet.read(|state| state.holder(domain).cloned())?;
+            let wish = async {
+                let connection = cx.peers.get(holder.peers).await?;
+                connection.want_model((self.service.clone(), model.clone()), WISH_TIMEOUT).await
+            };
+            let within = WISH_TIMEOUT.min(self.left());
+            tokio::time::timeout(within, wish).await.ok()?.ok()?
+        };
+        match reply {
+            WishReply::Ready => Some(Duration::ZERO),
+            WishReply::Loading(ms) => Some(Duration::from_millis(ms)),
+            WishReply::Unavailable => None,
+        }
+    }
+}
+
+/// Returns whether the adapter has to be loaded first, and nothing where the model is not there.
+fn lacks_adapter(server: &BackendServer, asked: Option<&Generation>) -> Option<bool> {
+    let Some(asked) = asked else { return Some(false) };
+    if !server.holds(&asked.model) {
+        return None;
+    }
+    let adapter = asked.adapter.as_deref();
+    Some(adapter.is_some_and(|adapter| !server.holds_adapter(&asked.model, adapter)))
+}
--- /dev/null
+++ b/savoryport/src/node/duty.rs
@@ -0,0 +1,174 @@
+//! Takes, renews and gives up the duty of a failure domain at the store.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use savoryport_adapter::store::{Committed, StoreError, Transaction};
+use savoryport_core::Name;
+use savoryport_core::node::duty::Duty;
+
+use super::context::NodeContext;
+use super::desk::Desk;
+use super::reader::duty_key;
+use super::view::DutyHolder;
+
+/// The pause between two looks at the duties.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Nodes that could take a duty try at a random time within this span.
+const TRY_SPREAD: Duration = Duration::from_millis(150);
+
+/// A failure domain whose own nodes do not take their duty for this long is taken care of by the
+/// holder of another one.
+const ADOPT_AFTER: Duration = Duration::from_secs(6);
+
+/// Renewals within one time to live.
+const RENEWALS_PER_LEASE: u32 = 3;
+
+/// What the taker of duties remembers.
+#[derive(Debug, Default)]
+struct Vacancies {
+    since: HashMap<Name, Instant>,
+    /// Failure domains that had a holder, whose last order may have been a moment ago.
+    held_before: HashSet<Name>,
+}
+
+/// Takes the duties that nobody holds, until the node stops.
+pub async fn run(cx: Arc<NodeContext>) {
+    let mut vacancies = Vacancies::default();
+    while !cx.stopping.is_cancelled() {
+        tokio::time::sleep(LOOK_PAUSE).await;
+        if !cx.store_contact.is_good(cx.now()) {
+            continue;
+        }
+        for domain in vacancies.open(&cx) {
+            tokio::time::sleep(TRY_SPREAD.mul_f64(cx.draw())).await;
+            if cx.fleet.read(|state| state.holder(&domain).is_some()) {
+                continue;
+            }
+            vacancies.try_take(&cx, &domain).await;
+        }
+    }
+    give_up_all(&cx).await;
+}
+
+impl Vacancies {
+    /// Returns the failure domains whose duty this node should try to take.
+    fn open(&mut self, cx: &NodeContext) -> Vec<Name> {
+        let (own, now) = (&cx.settings.failure_domain, cx.now());
+        let view = cx.fleet.view();
+        let Some(deployment) = view.deployment() else { return Vec::new() };
+        let mut domains: HashSet<Name> = view
+            .servers
+            .values()
+            .filter(|server| {
+                let service = deployment.services.get(&server.service);
+                service.is_some_and(|service| service.engine.is_some())
+            })
+            .map(|server| server.failure_domain.clone())
+            .collect();
+        domains.insert(own.clone());
+        self.held_before.extend(view.holders.keys().cloned());
+        self.since.retain(|domain, _| !view.holders.contains_key(domain));
+        let vacant = domains.into_iter().filter(|domain| !view.holders.contains_key(domain));
+        vacant
+            .filter(|domain| {
+                let since = *self.since.entry(domain.clone()).or_insert(now);
+                let is_adopted = cx.desks.holds_any() && now - since > ADOPT_AFTER;
+                !cx.desks.holds(domain) && (domain == own || is_adopted)
+            })
+            .collect()
+    }
+
+    async fn try_take(&mut self, cx: &Arc<NodeContext>, domain: &Name) {
+        let asked_at = cx.lease_clock.now();
+        let time_to_live = cx.settings.duty_lease();
+        cx.metrics.store_calls.inc();
+        let lease = match cx.store.grant(time_to_live).await {
+            Ok(lease) => lease,
+            Err(err) => return log::warn!(err:% = err; "no lease for the duty"),
+        };
+        let holder =
+            DutyHolder { vm: cx.settings.vm.clone(), peers: cx.settings.peers_listen() };
+        let value = serde_json::to_vec(&holder).expect("plain fields serialize");
+        let key = duty_key(domain);
+        let transaction = Transaction {
+            expected: vec![(key.clone(), 0)],
+            puts: vec![(key, value, lease)],
+            removes: Vec::new(),
+        };
+        cx.metrics.store_calls.inc();
+        match cx.store.commit(&transaction).await {
+            Ok(Committed::At(revision)) => {
+                let is_first = cx.settings.first_start && !self.held_before.contains(domain);
+                let hand_over = if is_first {
+                    Duration::ZERO
+                } else {
+                    Duration::from_millis(cx.settings.order_turn_ms)
+                };
+                self.held_before.insert(domain.clone());
+                let mut duty = Duty::new(time_to_live);
+                duty.won(revision, asked_at, cx.lease_clock.now(), hand_over);
+                log::info!(domain = &**domain, token = revision, hand_over_ms = hand_over.as_millis() as u64; "duty taken");
+                let desk = cx.desks.open(cx, Desk::new(domain.clone(), lease, duty));
+                cx.fleet.update(|state| state.set_holder(domain, Some(holder)));
+                tokio::spawn(keep(cx.clone(), desk));
+            }
+            Ok(Committed::Conflict) => {
+                self.held_before.insert(domain.clone());
+                end_lease(cx, lease).await;
+            }
+            // The write may still take effect; without its lease it cannot.
+            Err(err) => {
+                log::warn!(domain = &**domain, err:% = err; "duty not taken");
+                end_lease(cx, lease).await;
+            }
+        }
+    }
+}
+
+/// Renews the lease of a desk until it ends, then closes the desk.
+async fn keep(cx: Arc<NodeContext>, desk: Arc<Desk>) {
+    let pause = cx.settings.duty_lease() / RENEWALS_PER_LEASE;
+    loop {
+        tokio::time::sleep(pause).await;
+        if desk.cancel.is_cancelled() {
+            return;
+        }
+        let asked_at = cx.lease_clock.now();
+        cx.metrics.store_calls.inc();
+        match cx.store.keep(desk.lease_id()).await {
+            Ok(()) => {
+                desk.renewed(asked_at);
+                cx.store_contact.heard(cx.now());
+            }
+            Err(StoreError::LeaseEnded) => break,
+            Err(err) => log::debug!(domain = &*desk.domain, err:% = err; "duty not renewed"),
+        }
+    }
+    log::warn!(domain = &*desk.domain; "duty lost");
+    cx.desks.close(&desk);
+    cx.fleet.update(|state| {
+        let is_own = state.holder(&desk.domain).is_some_and(|holder| holder.vm == cx.settings.vm);
+        if is_own {
+            state.set_holder(&desk.domain, None);
+        }
+    });
+}
+
+async fn give_up_all(cx: &NodeContext) {
+    for desk in cx.desks.all() {
+        cx.desks.close(&desk);
+        log::info!(domain = &*desk.domain; "duty given up");
+        end_lease(cx, desk.lease_id()).await;
+    }
+}
+
+async fn end_lease(cx: &NodeContext, lease: u64) {
+    cx.metrics.store_calls.inc();
+    if let Err(err) = cx.store.end_lease(lease).await {
+        // It ends by itself after its time to live.
+        log::debug!(lease = lease, err:% = err; "lease not ended");
+    }
+}
--- /dev/null
+++ b/savoryport/src/node/flight.rs
@@ -0,0 +1,104 @@
+//! A request's place in the counts while it is at a server.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use savoryport_core::Name;
+
+use super::boards::AdapterKey;
+use super::context::NodeContext;
+use super::dispatch::Picked;
+use super::relay::Relay;
+use super::rpc::PromptRecord;
+
+/// Counts a request at its server until it is dropped.
+pub struct Flight {
+    cx: Arc<NodeContext>,
+    server: Name,
+    rank: u8,
+    prefill_ms: f32,
+    /// The time that was expected until the first token.
+    expected: Duration,
+    model: Option<Name>,
+    adapter: Option<AdapterKey>,
+    sent_at: Instant,
+    has_first_token: bool,
+}
+
+impl Flight {
+    /// Counts a request that leaves for the picked server.
+    pub(super) fn begin(relay: &Relay, picked: &Picked) -> Self {
+        let cx = relay.cx.clone();
+        let now = cx.now();
+        let server = &picked.server;
+        let asked = relay.head.generation.as_ref();
+        let adapter = asked.and_then(|asked| {
+            let adapter = asked.adapter.clone()?;
+            Some((server.id.clone(), asked.model.clone(), adapter))
+        });
+        let class = relay.deployment.services.get(&relay.service);
+        let cache_tokens = class.and_then(|service| Some(service.engine.as_ref()?.cache_tokens));
+        let mut boards = cx.boards.lock();
+        boards.loads.begin(&server.id, relay.route.rank, picked.prefill_ms);
+        if let Some(key) = &adapter {
+            *boards.adapters.entry(key.clone()).or_default() += 1;
+        }
+        if let Some(cache_tokens) = cache_tokens.filter(|_| !relay.keys.is_empty()) {
+            let record = PromptRecord {
+                server: server.id.clone(),
+                incarnation: server.incarnation,
+                keys: relay.keys.clone(),
+            };
+            boards.record_prompt(record, cache_tokens, now);
+        }
+        drop(boards);
+        Self {
+            server: server.id.clone(),
+            rank: relay.route.rank,
+            prefill_ms: picked.prefill_ms,
+            expected: picked.expected,
+            model: asked.map(|asked| asked.model.clone()),
+            adapter,
+            sent_at: now,
+            has_first_token: false,
+            cx,
+        }
+    }
+
+    /// Returns when the request left.
+    pub fn sent_at(&self) -> Instant {
+        self.sent_at
+    }
+
+    /// Notes the first token, or the whole answer of a plain service.
+    pub fn first_token(&mut self) {
+        if std::mem::replace(&mut self.has_first_token, true) {
+            return;
+        }
+        let took = self.cx.now() - self.sent_at;
+        let mut boards = self.cx.boards.lock();
+        boards.loads.first_token(&self.server, self.rank, self.prefill_ms);
+        if let Some(model) = &self.model {
+            let expected_ms = self.expected.as_secs_f64() * 1e3;
+            boards.speeds.note_first_token(&self.server, model, expected_ms, took);
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let mut boards = self.cx.boards.lock();
+        if !self.has_first_token {
+            boards.loads.first_token(&self.server, self.rank, self.prefill_ms);
+        }
+        boards.loads.end(&self.server);
+        if let Some(key) = &self.adapter
+            && let Some(requests) = boards.adapters.get_mut(key)
+        {
+            *requests -= 1;
+            if *requests == 0 {
+                boards.adapters.remove(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/savoryport/src/node/hub.rs
@@ -0,0 +1,246 @@
+//! What a duty holder collects from its failure domain and passes on.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use futures::StreamExt;
+use savoryport_core::Name;
+use savoryport_core::node::load::ServerLoad;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+
+use super::NodeError;
+use super::context::NodeContext;
+use super::rpc::{
+    AdapterUse, MAX_MESSAGE_BYTES, Peer, Position, PromptRecord, Role, SyncReply, SyncRequest,
+    WishReply,
+};
+
+/// What another node told counts for this long.
+const TOLD_LIFETIME: Duration = Duration::from_millis(1_000);
+
+/// Prompt records that are kept for followers.
+const MAX_PROMPTS: usize = 1_024;
+
+/// Loads by server.
+type Loads = HashMap<Name, ServerLoad>;
+
+/// What other nodes told.
+#[derive(Debug, Default)]
+pub struct Hub(Mutex<HubState>);
+
+#[derive(Debug, Default)]
+struct HubState {
+    followers: HashMap<Name, Told>,
+    domains: HashMap<Name, (Loads, Instant)>,
+    work_ms: HashMap<Name, f64>,
+    prompts: VecDeque<(u64, Name, PromptRecord)>,
+    prompt_count: u64,
+}
+
+#[derive(Debug)]
+struct Told {
+    loads: Loads,
+    adapters: Vec<AdapterUse>,
+    at: Instant,
+}
+
+impl Hub {
+    fn lock(&self) -> MutexGuard<'_, HubState> {
+        self.0.lock().expect("no holder panics")
+    }
+
+    /// Takes what a follower told.
+    fn note_follower(&self, req: &SyncRequest, now: Instant) {
+        let mut state = self.lock();
+        let vm = &req.member.vm;
+        if req.is_leaving {
+            state.followers.remove(vm);
+        } else {
+            let loads = req.loads.iter().cloned().collect();
+            let told = Told { loads, adapters: req.adapters.clone(), at: now };
+            state.followers.insert(vm.clone(), told);
+        }
+        state.add_work(&req.work_ms);
+        state.add_prompts(vm, &req.prompts);
+    }
+
+    /// Takes the sums of another failure domain.
+    pub fn note_domain(&self, domain: &Name, loads: Vec<(Name, ServerLoad)>, now: Instant) {
+        self.lock().domains.insert(domain.clone(), (loads.into_iter().collect(), now));
+    }
+
+    /// Takes this node's own work and prompts.
+    pub fn note_own(&self, vm: &Name, work_ms: &[(Name, f64)], prompts: &[PromptRecord]) {
+        let mut state = self.lock();
+        state.add_work(work_ms);
+        state.add_prompts(vm, prompts);
+    }
+
+    /// Returns the work by model that arrived since the last call, in milliseconds.
+    pub fn take_work(&self) -> HashMap<Name, f64> {
+        std::mem::take(&mut self.lock().work_ms)
+    }
+
+    /// Returns the adapters that followers use.
+    pub fn adapters_in_use(&self) -> Vec<AdapterUse> {
+        let state = self.lock();
+        state.followers.values().flat_map(|told| told.adapters.iter().cloned()).collect()
+    }
+
+    /// Returns what followers and other failure domains have under way, without one follower.
+    pub fn loads_but(&self, vm: Option<&str>, with_domains: bool, now: Instant) -> Loads {
+        let mut state = self.lock();
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) < TOLD_LIFETIME;
+        state.followers.retain(|_, told| is_fresh(told.at));
+        let mut sum = Loads::new();
+        for (name, told) in &state.followers {
+            if Some(&**name) != vm {
+                add_loads(&mut sum, &told.loads);
+            }
+        }
+        let domains = state.domains.values().filter(|(_, at)| with_domains && is_fresh(*at));
+        for (loads, _) in domains {
+            add_loads(&mut sum, loads);
+        }
+        sum
+    }
+
+    fn prompts_since(&self, position: u64, vm: &str) -> (u64, Vec<PromptRecord>) {
+        let state = self.lock();
+        let news = state.prompts.iter().filter(|(number, from, _)| {
+            *number > position && **from != *vm
+        });
+        (state.prompt_count, news.map(|(_, _, record)| record.clone()).collect())
+    }
+}
+
+impl HubState {
+    fn add_work(&mut self, work_ms: &[(Name, f64)]) {
+        for (model, ms) in work_ms {
+            *self.work_ms.entry(model.clone()).or_default() += ms;
+        }
+    }
+
+    fn add_prompts(&mut self, vm: &Name, prompts: &[PromptRecord]) {
+        for record in prompts {
+            self.prompt_count += 1;
+            self.prompts.push_back((self.prompt_count, vm.clone(), record.clone()));
+        }
+        while self.prompts.len() > MAX_PROMPTS {
+            self.prompts.pop_front();
+        }
+    }
+}
+
+/// Adds loads to a sum.
+pub fn add_loads(sum: &mut Loads, loads: &Loads) {
+    for (server, load) in loads {
+        sum.entry(server.clone()).or_default().add(load);
+    }
+}
+
+#[derive(Clone)]
+struct PeerServer {
+    cx: Arc<NodeContext>,
+}
+
+impl Peer for PeerServer {
+    async fn sync(self, _: Context, req: SyncRequest) -> SyncReply {
+        let (cx, now) = (&self.cx, self.cx.now());
+        let domain = match req.role {
+            Role::Follower => None,
+            Role::Holder => Some(&*cx.settings.failure_domain),
+        };
+        let mut loads = match req.role {
+            Role::Follower => {
+                cx.hub.note_follower(&req, now);
+                note_prompts(cx, &req.prompts, now);
+                cx.hub.loads_but(Some(&req.member.vm), true, now)
+            }
+            Role::Holder => {
+                let loads = req.loads.clone();
+                cx.hub.note_domain(&req.member.failure_domain, loads, now);
+                cx.hub.loads_but(None, false, now)
+            }
+        };
+        add_loads(&mut loads, cx.boards.lock().loads.own());
+        let (prompt_count, prompts) = match req.role {
+            Role::Follower => cx.hub.prompts_since(req.have.prompts, &req.member.vm),
+            Role::Holder => (0, Vec::new()),
+        };
+        let mut reply = SyncReply {
+            position: Position::default(),
+            is_holder: cx.desks.holds(&cx.settings.failure_domain) && cx.store_contact.is_good(now),
+            is_full: false,
+            config: None,
+            servers: Vec::new(),
+            removed: Vec::new(),
+            members: None,
+            loads: loads.into_iter().collect(),
+            prompts,
+        };
+        cx.fleet.update(|state| {
+            if req.role == Role::Follower {
+                if req.is_leaving {
+                    state.remove_member(&req.member.vm);
+                } else {
+                    state.note_member(req.member.clone(), now);
+                }
+                state.expire_members(now);
+            }
+            if let Some(raw) = &req.config {
+                super::reader::accept_config(state, raw, "node");
+            }
+        });
+        cx.fleet.read(|state| state.fill(req.have, cx.tenure, domain, &mut reply));
+        reply.position.prompts = prompt_count;
+        reply
+    }
+
+    async fn want_adapter(self, _: Context, server: Name, model: Name, adapter: Name) -> WishReply {
+        self.cx.desks.want_adapter(&self.cx, &server, &model, &adapter).await
+    }
+
+    async fn want_model(self, _: Context, service: Name, model: Name) -> WishReply {
+        self.cx.desks.want_model(&self.cx, &service, &model)
+    }
+}
+
+/// Takes prompts that other nodes sent.
+pub fn note_prompts(cx: &NodeContext, prompts: &[PromptRecord], now: Instant) {
+    let view = cx.fleet.view();
+    let Some(deployment) = view.deployment() else { return };
+    let mut boards = cx.boards.lock();
+    for PromptRecord { server, incarnation, keys } in prompts {
+        let service = view.servers.get(server).and_then(|known| {
+            deployment.services.get(&known.service)?.engine.as_ref()
+        });
+        if let Some(class) = service {
+            boards.prefixes.record(server, *incarnation, keys, class.cache_tokens, now);
+        }
+    }
+}
+
+/// Starts answering other nodes.
+///
+/// # Errors
+///
+/// Returns an error where the address cannot be listened on.
+pub async fn start(cx: &Arc<NodeContext>) -> Result<(), NodeError> {
+    let address = cx.settings.peers_listen();
+    let listening = tarpc::serde_transport::tcp::listen(address, Bincode::default).await;
+    let mut listener = listening.map_err(|err| NodeError::Listen { address, err })?;
+    listener.config_mut().max_frame_length(MAX_MESSAGE_BYTES);
+    let server = PeerServer { cx: cx.clone() };
+    tokio::spawn(async move {
+        while let Some(connection) = listener.next().await {
+            let Ok(transport) = connection else { continue };
+            let requests = BaseChannel::with_defaults(transport).execute(server.clone().serve());
+            tokio::spawn(requests.for_each_concurrent(None, |answer| answer));
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/savoryport/src/node/relay.rs
@@ -0,0 +1,496 @@
+//! Takes one request from its head to its answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use savoryport_adapter::callers::{request_head, strip_headers};
+use savoryport_adapter::servers::{
+    AnswerKind, Dispatch, answer_kind, keep_alive, promises_not_run, set_dispatch,
+    strip_connection_headers,
+};
+use savoryport_core::Name;
+use savoryport_core::node::deployment::{Deployment, RequestKind, Route};
+use savoryport_core::node::health::ServerOutcome;
+use savoryport_core::node::request::{PrefixKeys, RequestHead};
+use savoryport_platform::connection::{Connection, SendError};
+
+use super::answer::{Body, Cause, Refusal, pass_on};
+use super::context::NodeContext;
+use super::dispatch::Picked;
+use super::flight::Flight;
+use super::stream;
+
+/// A non-idempotent request uses a kept connection only if it was in use this recently: on one that
+/// the server closes at that moment its outcome would be unknown without need.
+const FRESH_CONNECTION: Duration = Duration::from_millis(1_500);
+
+/// Connections that one request may fail to open.
+const MAX_UNREACHABLE: u32 = 4;
+
+/// A repeatable request that got no answer within this many times what was expected goes elsewhere.
+const STALL_FACTOR: u32 = 4;
+
+/// No answer is waited for shorter than this before a repeatable request goes elsewhere.
+const MIN_STALL: Duration = Duration::from_millis(250);
+
+/// The rest of an answer that did not run is read for this long, to keep the connection.
+const REST_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// The longest whole answer that is held in memory, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// One request on its way.
+pub struct Relay {
+    pub(super) cx: Arc<NodeContext>,
+    pub(super) deployment: Arc<Deployment>,
+    pub(super) route: Route,
+    pub(super) service: Name,
+    pub(super) head: RequestHead,
+    pub(super) keys: PrefixKeys,
+    pub(super) arrived: Instant,
+    pub(super) ends: Instant,
+    method: Method,
+    target: String,
+    headers: HeaderMap,
+    body: Bytes,
+    /// Servers that the request was sent to.
+    pub(super) tried: Vec<Name>,
+    /// Servers that could not be reached or refused, and are not asked again.
+    pub(super) avoided: Vec<Name>,
+    unreachable: u32,
+    /// Whether a server may have run the request.
+    in_doubt: bool,
+    /// A server's own failure, which is passed on if nothing better comes.
+    failure: Option<(StatusCode, HeaderMap, Bytes)>,
+    pub(super) last_server: Option<Name>,
+}
+
+/// What came of sending the request to a server.
+enum Attempt {
+    /// The caller's answer.
+    Answer(Response<Body>),
+    /// The next server may be tried.
+    Next,
+}
+
+/// The head of a stream that has begun, with what is needed to go on.
+pub(super) struct Opened {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Incoming,
+    pub(super) connection: Connection,
+    pub(super) flight: Flight,
+}
+
+/// What a server answered.
+enum Answered {
+    Head(Opened, AnswerKind),
+    Failed,
+}
+
+/// Serves one request of a caller.
+pub async fn serve(cx: Arc<NodeContext>, req: Request<Incoming>) -> Response<Body> {
+    let arrived = cx.now();
+    match Relay::begin(cx.clone(), req, arrived).await {
+        Ok(relay) => relay.run().await,
+        Err(refusal) => {
+            cx.metrics.note_refusal(refusal.cause);
+            refusal.answer()
+        }
+    }
+}
+
+impl Relay {
+    async fn begin(
+        cx: Arc<NodeContext>,
+        req: Request<Incoming>,
+        arrived: Instant,
+    ) -> Result<Self, Refusal> {
+        let view = cx.fleet.view();
+        let wait = Duration::from_millis(cx.settings.store_poll_ms);
+        let deployment =
+            view.deployment().cloned().ok_or(Refusal::retry(Cause::NoConfig, wait))?;
+        let (parts, body) = req.into_parts();
+        let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+        let route = find_route(&deployment, host, parts.uri.path())?.clone();
+        let head = request_head(&parts.headers).map_err(|err| {
+            log::debug!(err:% = err; "head refused");
+            Refusal::of(Cause::BadHead)
+        })?;
+        let service = route.choose_service(cx.draw_u64()).cloned();
+        let service = service.ok_or(Refusal::of(Cause::NoRoute))?;
+        let deadline = head.deadline.unwrap_or(route.timeout);
+        let ends = arrived + deadline.min(route.timeout);
+        let body = read_body(body, &deployment, ends.saturating_duration_since(cx.now())).await?;
+        let mut headers = parts.headers;
+        strip_headers(&mut headers);
+        let keys = head.generation.as_ref().map(|asked| asked.prefix_keys()).unwrap_or_default();
+        let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
+        Ok(Self {
+            cx,
+            deployment,
+            route,
+            service,
+            head,
+            keys,
+            arrived,
+            ends,
+            method: parts.method,
+            target,
+            headers,
+            body,
+            tried: Vec::new(),
+            avoided: Vec::new(),
+            unreachable: 0,
+            in_doubt: false,
+            failure: None,
+            last_server: None,
+        })
+    }
+
+    async fn run(mut self) -> Response<Body> {
+        self.note_work();
+        loop {
+            let picked = match self.pick().await {
+                Ok(picked) => picked,
+                Err(refusal) => return self.finish_without(refusal),
+            };
+            match self.attempt(picked).await {
+                Attempt::Answer(answer) => return answer,
+                Attempt::Next => {}
+            }
+            if let Some(cause) = self.obstacle_to_retry() {
+                let refusal = self.refusal(cause);
+                return self.finish_without(refusal);
+            }
+        }
+    }
+
+    /// Returns the time that is left for the answer.
+    pub(super) fn left(&self) -> Duration {
+        self.ends.saturating_duration_since(self.cx.now())
+    }
+
+    /// Returns whether the request may be sent to one more server, and takes it from the budget.
+    pub(super) fn may_send(&self) -> bool {
+        let sent = self.tried.len() as u32;
+        let mut boards = self.cx.boards.lock();
+        if sent == 0 {
+            boards.budget.earn(&self.service);
+            return true;
+        }
+        sent < self.route.max_attempts && boards.budget.take(&self.service)
+    }
+
+    fn obstacle_to_retry(&self) -> Option<Cause> {
+        if self.left().is_zero() {
+            return Some(Cause::TimedOut);
+        }
+        if self.in_doubt && !self.route.kind.is_repeatable() {
+            return Some(Cause::Broken);
+        }
+        let exhausted = self.tried.len() as u32 >= self.route.max_attempts
+            || self.unreachable >= MAX_UNREACHABLE;
+        exhausted.then_some(if self.in_doubt { Cause::Broken } else { Cause::NotRun })
+    }
+
+    /// Returns the refusal for a cause; a request that may have run is never said not to have.
+    fn refusal(&self, cause: Cause) -> Refusal {
+        /// A caller that no server had room for may come back after this time.
+        const COME_BACK: Duration = Duration::from_millis(250);
+        let cause = match cause {
+            cause if self.in_doubt && promises_not_run(cause.status()) => Cause::Broken,
+            cause => cause,
+        };
+        if promises_not_run(cause.status()) {
+            Refusal::retry(cause, COME_BACK.mul_f64(1.0 + self.cx.draw()))
+        } else {
+            Refusal::of(cause)
+        }
+    }
+
+    fn finish_without(mut self, refusal: Refusal) -> Response<Body> {
+        if let Some((status, headers, body)) = self.failure.take() {
+            self.log_end("failed", status.as_u16(), None);
+            return pass_on(status, headers, body);
+        }
+        let refusal = match refusal.cause {
+            cause if self.in_doubt => self.refusal(cause),
+            _ => refusal,
+        };
+        self.cx.metrics.note_refusal(refusal.cause);
+        self.log_end(refusal.cause.name(), refusal.cause.status().as_u16(), refusal.retry_after);
+        refusal.answer()
+    }
+
+    /// Writes the line that ends a request.
+    pub(super) fn log_end(&self, outcome: &str, status: u16, retry_after: Option<Duration>) {
+        let model = self.head.generation.as_ref().map_or("", |asked| &asked.model);
+        let elapsed = self.cx.now() - self.arrived;
+        self.cx.metrics.note_end(&self.route, outcome, elapsed);
+        log::info!(
+            request = &*self.head.id, route = &*self.route.name, rank = self.route.rank,
+            model = model, server = self.last_server.as_deref().unwrap_or(""),
+            attempts = self.tried.len(), outcome = outcome, status = status,
+            elapsed_ms = elapsed.as_millis() as u64,
+            retry_after_ms = retry_after.map_or(0, |wait| wait.as_millis() as u64),
+            config = self.deployment.version; "request ended"
+        );
+    }
+
+    async fn attempt(&mut self, picked: Picked) -> Attempt {
+        let (opened, kind) = match self.open(&picked, None).await {
+            Answered::Head(opened, kind) => (opened, kind),
+            Answered::Failed => return Attempt::Next,
+        };
+        match kind {
+            AnswerKind::Success if self.route.kind.is_stream() => {
+                let relay = self.take();
+                Attempt::Answer(stream::forward(relay, opened, picked))
+            }
+            AnswerKind::Success => self.whole_answer(opened, &picked).await,
+            AnswerKind::NotRun => {
+                self.note_not_run(opened, &picked).await;
+                Attempt::Next
+            }
+            AnswerKind::Failure => self.server_failure(opened, &picked).await,
+            AnswerKind::Foreign => {
+                self.in_doubt = true;
+                self.note(&picked.server.id, ServerOutcome::Unreachable);
+                Attempt::Next
+            }
+        }
+    }
+
+    /// Moves the request out, for a task that goes on after the head was answered.
+    fn take(&mut self) -> Self {
+        Self {
+            cx: self.cx.clone(),
+            deployment: self.deployment.clone(),
+            route: self.route.clone(),
+            service: self.service.clone(),
+            head: self.head.clone(),
+            keys: self.keys.clone(),
+            arrived: self.arrived,
+            ends: self.ends,
+            method: self.method.clone(),
+            target: std::mem::take(&mut self.target),
+            headers: std::mem::take(&mut self.headers),
+            body: std::mem::take(&mut self.body),
+            tried: std::mem::take(&mut self.tried),
+            avoided: std::mem::take(&mut self.avoided),
+            unreachable: self.unreachable,
+            in_doubt: self.in_doubt,
+            failure: None,
+            last_server: self.last_server.clone(),
+        }
+    }
+
+    /// Sends the request to a server and waits for the head of its answer.
+    async fn open(&mut self, picked: &Picked, resume_after: Option<u64>) -> Answered {
+        let server = &picked.server;
+        self.last_server = Some(server.id.clone());
+        let max_idle = match self.route.kind {
+            RequestKind::NonIdempotent => FRESH_CONNECTION,
+            _ => Duration::MAX,
+        };
+        let address: Name = server.address.to_string().into();
+        let connect = Duration::from_millis(self.cx.settings.connect_timeout_ms).min(self.left());
+        let mut connection =
+            match self.cx.pool.connect_within(&address, max_idle, connect).await {
+                Ok(connection) => connection,
+                Err(err) => return self.not_connected(picked, &err),
+            };
+        let flight = Flight::begin(self, picked);
+        self.tried.push(server.id.clone());
+        let sent_at = self.cx.now();
+        let req = self.request(picked, resume_after);
+        match tokio::time::timeout(self.patience(picked), connection.send(req)).await {
+            Ok(Ok(answer)) => {
+                let (parts, body) = answer.into_parts();
+                let kind = answer_kind(parts.status, &parts.headers, &self.head.id);
+                let (status, headers) = (parts.status, parts.headers);
+                Answered::Head(Opened { status, headers, body, connection, flight }, kind)
+            }
+            Ok(Err(err @ SendError::NotConnected { .. })) => {
+                self.tried.pop();
+                self.not_connected(picked, &err)
+            }
+            Ok(Err(err)) => {
+                log::debug!(request = &*self.head.id, server = &*server.id, err:% = err; "broken");
+                self.broken(&server.id)
+            }
+            Err(_) => {
+                log::debug!(
+                    request = &*self.head.id, server = &*server.id,
+                    waited_ms = (self.cx.now() - sent_at).as_millis() as u64; "no answer"
+                );
+                self.broken(&server.id)
+            }
+        }
+    }
+
+    /// Opens the stream again at another server, after the last event that was delivered.
+    pub(super) async fn reopen(&mut self, picked: &Picked, after: Option<u64>) -> Option<Opened> {
+        match self.open(picked, after).await {
+            Answered::Head(opened, AnswerKind::Success) => Some(opened),
+            Answered::Head(opened, AnswerKind::NotRun) => {
+                self.note_not_run(opened, picked).await;
+                None
+            }
+            Answered::Head(_, AnswerKind::Failure | AnswerKind::Foreign) => {
+                self.note(&picked.server.id, ServerOutcome::Failed);
+                None
+            }
+            Answered::Failed => None,
+        }
+    }
+
+    fn not_connected(&mut self, picked: &Picked, err: &SendError) -> Answered {
+        log::debug!(request = &*self.head.id, err:% = err; "server unreachable");
+        self.unreachable += 1;
+        self.avoided.push(picked.server.id.clone());
+        self.note(&picked.server.id, ServerOutcome::Unreachable);
+        Answered::Failed
+    }
+
+    fn broken(&mut self, server: &Name) -> Answered {
+        self.in_doubt = true;
+        self.note(server, ServerOutcome::Unreachable);
+        Answered::Failed
+    }
+
+    /// Returns how long the head of an answer is waited for.
+    fn patience(&self, picked: &Picked) -> Duration {
+        let can_go_elsewhere = self.route.kind.is_repeatable()
+            && (self.tried.len() as u32) < self.route.max_attempts;
+        if !can_go_elsewhere {
+            return self.left();
+        }
+        let stall = (picked.expected * STALL_FACTOR).max(self.route.target).max(MIN_STALL);
+        stall.min(self.left())
+    }
+
+    fn request(&self, picked: &Picked, resume_after: Option<u64>) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        if let Ok(target) = self.target.parse() {
+            *req.uri_mut() = target;
+        }
+        *req.headers_mut() = self.headers.clone();
+        let headers = req.headers_mut();
+        if self.body.is_empty() && !self.headers.contains_key(CONTENT_LENGTH) {
+            headers.remove(CONTENT_LENGTH);
+        } else {
+            headers.insert(CONTENT_LENGTH, self.body.len().into());
+        }
+        let dispatch = Dispatch {
+            server: &picked.server.id,
+            left: self.left(),
+            priority: picked.priority,
+            resume_after,
+        };
+        set_dispatch(headers, dispatch);
+        req
+    }
+
+    async fn whole_answer(&mut self, opened: Opened, picked: &Picked) -> Attempt {
+        let Opened { status, mut headers, body, connection, mut flight } = opened;
+        match collect(body, self.left()).await {
+            Some(body) => {
+                flight.first_token();
+                self.note(&picked.server.id, ServerOutcome::Answered);
+                let took = self.cx.now() - flight.sent_at();
+                let server = &picked.server.id;
+                self.cx.boards.lock().speeds.note_service(server, &self.service, took);
+                self.cx.pool.keep(connection, keep_alive(&headers));
+                strip_connection_headers(&mut headers);
+                self.log_end("answered", status.as_u16(), None);
+                Attempt::Answer(pass_on(status, headers, body))
+            }
+            None => {
+                self.in_doubt = true;
+                self.note(&picked.server.id, ServerOutcome::Unreachable);
+                Attempt::Next
+            }
+        }
+    }
+
+    async fn note_not_run(&mut self, opened: Opened, picked: &Picked) {
+        let Opened { status, headers, body, connection, flight, .. } = opened;
+        drop(flight);
+        log::info!(
+            request = &*self.head.id, server = &*picked.server.id, status = status.as_u16(),
+            expected_ms = picked.expected.as_millis() as u64; "server refused"
+        );
+        self.avoided.push(picked.server.id.clone());
+        self.cx.metrics.not_run.inc();
+        if collect(body, REST_TIMEOUT).await.is_some() {
+            self.cx.pool.keep(connection, keep_alive(&headers));
+        }
+    }
+
+    async fn server_failure(&mut self, opened: Opened, picked: &Picked) -> Attempt {
+        let Opened { status, mut headers, body, connection, flight, .. } = opened;
+        let body = collect(body, self.left()).await;
+        drop(flight);
+        self.in_doubt = true;
+        self.note(&picked.server.id, ServerOutcome::Failed);
+        let Some(body) = body else { return Attempt::Next };
+        self.cx.pool.keep(connection, keep_alive(&headers));
+        strip_connection_headers(&mut headers);
+        // A status that promises "not run" without the server's word for it would be a lie.
+        if promises_not_run(status) && !self.route.kind.is_repeatable() {
+            return Attempt::Next;
+        }
+        let goes_on = status.is_server_error() && self.route.kind.is_repeatable();
+        if goes_on {
+            self.failure = Some((status, headers, body));
+            return Attempt::Next;
+        }
+        self.log_end("failed", status.as_u16(), None);
+        Attempt::Answer(pass_on(status, headers, body))
+    }
+
+    pub(super) fn note(&self, server: &Name, outcome: ServerOutcome) {
+        let now = self.cx.now();
+        self.cx.boards.lock().health.note(server, outcome, now);
+    }
+}
+
+fn find_route<'a>(
+    deployment: &'a Deployment,
+    host: &str,
+    path: &str,
+) -> Result<&'a Route, Refusal> {
+    let bare = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    deployment
+        .route(host, path)
+        .or_else(|| deployment.route(bare, path))
+        .ok_or(Refusal::of(Cause::NoRoute))
+}
+
+async fn read_body(
+    body: Incoming,
+    deployment: &Deployment,
+    within: Duration,
+) -> Result<Bytes, Refusal> {
+    let limited = Limited::new(body, deployment.limits.body_bytes);
+    match tokio::time::timeout(within, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Refusal::of(Cause::BodyTooLong)),
+        Ok(Err(_)) | Err(_) => Err(Refusal::of(Cause::BodyMissing)),
+    }
+}
+
+/// Reads a body to its end; returns nothing if it broke off, was too long or took too long.
+async fn collect(body: Incoming, within: Duration) -> Option<Bytes> {
+    let limited = Limited::new(body, MAX_ANSWER_BYTES);
+    let collected = tokio::time::timeout(within, limited.collect()).await.ok()?.ok()?;
+    Some(collected.to_bytes())
+}
--- /dev/null
+++ b/savoryport/src/node/sync.rs
@@ -0,0 +1,244 @@
+//! Keeps this node in step with the duty holder of its failure domain, or holders with each other.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use savoryport_core::Name;
+use savoryport_core::node::load::ServerLoad;
+use tokio::sync::watch;
+
+use super::context::NodeContext;
+use super::hub::{add_loads, note_prompts};
+use super::reader::accept_config;
+use super::rpc::{PeerError, Position, Role, SyncReply, SyncRequest};
+use super::view::DutyHolder;
+
+/// The time for one call of another node of the failure domain.
+const FOLLOW_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The time for one call across regions.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Calls in a row without an answer after which a holder counts as lost.
+const LOST_AFTER: u32 = 2;
+
+/// What a node that follows knows of its holder.
+#[derive(Debug, Default)]
+struct Following {
+    holder: Option<DutyHolder>,
+    have: Position,
+    failures: u32,
+    /// The version that the holder was last seen to have.
+    holder_config: u64,
+}
+
+/// Follows the holder of this node's failure domain; `read_store` tells the reader whether this node
+/// has to read the store itself.
+pub async fn follow(cx: Arc<NodeContext>, read_store: watch::Sender<bool>) {
+    let mut following = Following::default();
+    let period = Duration::from_millis(cx.settings.sync_period_ms);
+    loop {
+        let takes_servers = !*read_store.borrow();
+        let must_read = step(&cx, &mut following, takes_servers).await;
+        read_store.send_if_modified(|reads| std::mem::replace(reads, must_read) != must_read);
+        tokio::time::sleep(period).await;
+    }
+}
+
+/// Makes one step; returns whether this node has to read the store itself.
+async fn step(cx: &NodeContext, following: &mut Following, takes_servers: bool) -> bool {
+    let domain = &cx.settings.failure_domain;
+    let own = &cx.settings.vm;
+    // A holder reads for the others; so does one that still holds a foreign domain's duty.
+    if cx.desks.holds_any() {
+        publish_own(cx);
+        return true;
+    }
+    let holder = cx.fleet.read(|state| state.holder(domain).cloned());
+    let Some(holder) = holder.filter(|holder| holder.vm != *own) else { return true };
+    if following.holder.as_ref() != Some(&holder) {
+        *following = Following { holder: Some(holder.clone()), ..Following::default() };
+    }
+    if !takes_servers {
+        // What was read from the store since is not in the holder's changes.
+        following.have.tenure = 0;
+    }
+    match call(cx, following, &holder).await {
+        Ok(reply) => {
+            if following.failures >= LOST_AFTER {
+                log::info!(holder = &*holder.vm; "holder regained");
+            }
+            following.failures = 0;
+            apply(cx, following, reply, takes_servers)
+        }
+        Err(err) => {
+            following.failures += 1;
+            if following.failures == LOST_AFTER {
+                log::warn!(holder = &*holder.vm, err:% = err; "holder lost");
+            }
+            cx.peers.forget(holder.peers);
+            following.failures >= LOST_AFTER
+        }
+    }
+}
+
+async fn call(
+    cx: &NodeContext,
+    following: &Following,
+    holder: &DutyHolder,
+) -> Result<SyncReply, PeerError> {
+    let req = request(cx, following);
+    let exchange = async {
+        let connection = cx.peers.get(holder.peers).await?;
+        connection.sync(req, FOLLOW_TIMEOUT).await
+    };
+    let timed_out =
+        || PeerError { address: holder.peers, problem: "no answer in time".to_owned() };
+    tokio::time::timeout(FOLLOW_TIMEOUT, exchange).await.unwrap_or_else(|_| Err(timed_out()))
+}
+
+fn request(cx: &NodeContext, following: &Following) -> SyncRequest {
+    let is_behind = following.holder_config > 0 && following.holder_config < cx.fleet.view().version();
+    let config = is_behind.then(|| cx.fleet.view().config.clone()).flatten();
+    let mut boards = cx.boards.lock();
+    SyncRequest {
+        member: cx.member.clone(),
+        role: Role::Follower,
+        is_leaving: cx.stopping.is_cancelled(),
+        have: Position { config: cx.fleet.view().version(), ..following.have },
+        loads: boards.loads.own().iter().map(|(server, load)| (server.clone(), *load)).collect(),
+        work_ms: boards.work_ms.drain().collect(),
+        adapters: boards.adapters_in_use(),
+        prompts: std::mem::take(&mut boards.prompts),
+        config: config.map(|config| config.raw.to_vec()),
+    }
+}
+
+fn apply(
+    cx: &NodeContext,
+    following: &mut Following,
+    reply: SyncReply,
+    takes_servers: bool,
+) -> bool {
+    let now = cx.now();
+    cx.boards.lock().loads.set_others(reply.loads.iter().cloned().collect());
+    note_prompts(cx, &reply.prompts, now);
+    cx.fleet.update(|state| {
+        if takes_servers {
+            state.apply_servers(&reply);
+        }
+        if let Some((members, holders)) = &reply.members {
+            state.set_members(members.clone());
+            if takes_servers {
+                for (domain, holder) in holders {
+                    state.set_holder(domain, Some(holder.clone()));
+                }
+            }
+        }
+        if let Some(raw) = &reply.config {
+            accept_config(state, raw, "node");
+        }
+    });
+    following.holder_config = reply.position.config;
+    following.have = reply.position;
+    let nodes = cx.fleet.view().members.len();
+    cx.boards.lock().budget.set_nodes(nodes);
+    !reply.is_holder
+}
+
+/// Passes this holder's own counts to its hub, and the sums of all others to its boards.
+fn publish_own(cx: &NodeContext) {
+    let now = cx.now();
+    let (work_ms, prompts) = {
+        let mut boards = cx.boards.lock();
+        let work_ms: Vec<(Name, f64)> = boards.work_ms.drain().collect();
+        (work_ms, std::mem::take(&mut boards.prompts))
+    };
+    cx.hub.note_own(&cx.settings.vm, &work_ms, &prompts);
+    let others = cx.hub.loads_but(None, true, now);
+    cx.fleet.update(|state| state.expire_members(now));
+    let nodes = cx.fleet.view().members.len();
+    let mut boards = cx.boards.lock();
+    boards.loads.set_others(others);
+    boards.budget.set_nodes(nodes);
+}
+
+/// Exchanges sums and news with the holders of other failure domains while this node is a holder.
+pub async fn exchange(cx: Arc<NodeContext>) {
+    let mut positions: HashMap<Name, Position> = HashMap::new();
+    let period = Duration::from_millis(cx.settings.exchange_period_ms);
+    loop {
+        tokio::time::sleep(period).await;
+        if !cx.desks.holds_any() {
+            positions.clear();
+            continue;
+        }
+        let holders = cx.fleet.read(|state| state.holders().clone());
+        let others = holders.into_iter().filter(|(domain, holder)| {
+            holder.vm != cx.settings.vm && *domain != cx.settings.failure_domain
+        });
+        let calls = others.map(|(domain, holder)| {
+            let have = positions.get(&domain).copied().unwrap_or_default();
+            let cx = cx.clone();
+            async move {
+                let position = exchange_with(&cx, &domain, &holder, have).await;
+                (domain, position)
+            }
+        });
+        for (domain, position) in futures::future::join_all(calls).await {
+            positions.insert(domain, position.unwrap_or_default());
+        }
+    }
+}
+
+async fn exchange_with(
+    cx: &NodeContext,
+    domain: &Name,
+    holder: &DutyHolder,
+    have: Position,
+) -> Option<Position> {
+    let now = cx.now();
+    let mut loads: HashMap<Name, ServerLoad> = cx.hub.loads_but(None, false, now);
+    add_loads(&mut loads, cx.boards.lock().loads.own());
+    let req = SyncRequest {
+        member: cx.member.clone(),
+        role: Role::Holder,
+        is_leaving: false,
+        have: Position { config: cx.fleet.view().version(), ..have },
+        loads: loads.into_iter().collect(),
+        work_ms: Vec::new(),
+        adapters: Vec::new(),
+        prompts: Vec::new(),
+        config: None,
+    };
+    let exchange = async {
+        let connection = cx.peers.get(holder.peers).await?;
+        connection.sync(req, EXCHANGE_TIMEOUT).await
+    };
+    let reply = match tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(_)) | Err(_) => {
+            cx.peers.forget(holder.peers);
+            cx.fleet.update(|state| state.clear_residency(domain));
+            return None;
+        }
+    };
+    cx.hub.note_domain(domain, reply.loads.clone(), cx.now());
+    cx.fleet.update(|state| {
+        for server in reply.servers.iter().filter(|server| server.failure_domain == *domain) {
+            let residency = super::fleet::Residency {
+                incarnation: server.incarnation,
+                models: server.models.clone(),
+            };
+            state.set_residency(&server.id, residency);
+        }
+        if let Some((members, _)) = &reply.members {
+            state.set_domain_members(domain, members.clone());
+        }
+        if let Some(raw) = &reply.config {
+            accept_config(state, raw, "node");
+        }
+    });
+    Some(reply.position)
+}
--- a/savoryport_core/src/lib.rs
+++ b/savoryport_core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod hash;
 pub mod lease;
 pub mod ledger;
+pub mod node;
 pub mod placement;
 pub mod rank;
 pub mod relay;
--- /dev/null
+++ b/savoryport_core/src/node/admission.rs
@@ -0,0 +1,70 @@
+//! Decides whether a request is served, and when a refused caller may come back.
+//!
+//! Load pattern: floods beyond what the servers can take. A request whose first token cannot come
+//! before its caller leaves is refused at once, while it costs nothing; one that can only be late
+//! yields to those that can still be on time.
+
+use std::time::Duration;
+
+/// Callers that come back are spread over this share of the wait, so that they do not return in step.
+const SPREAD: f64 = 0.5;
+
+/// The shortest wait that a refused caller is told.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// The share of the time left that the first token may take; the rest is for the answer's events.
+const FIRST_TOKEN_SHARE: f64 = 0.85;
+
+/// The highest value of the engines' priority, which goes last.
+const LAST_PRIORITY: u8 = 9;
+
+/// How a request is dealt with.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// It is sent, with this priority for the engine; 0 goes first.
+    Serve {
+        /// The engine's priority.
+        priority: u8,
+    },
+    /// It cannot be answered in time.
+    Refuse {
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
+}
+
+/// What is known of a request when it is judged.
+#[derive(Debug, Clone, Copy)]
+pub struct Prospect {
+    /// The rank of work; 0 is the most urgent.
+    pub rank: u8,
+    /// The expected time to the first token from now.
+    pub expected: Duration,
+    /// Time since the request arrived.
+    pub elapsed: Duration,
+    /// The time from arrival to the first token that callers expect.
+    pub target: Duration,
+    /// The time until the caller leaves or the route's time is up.
+    pub left: Duration,
+}
+
+/// Judges a request; `draw` is uniform in 0..1.
+pub fn judge(prospect: &Prospect, draw: f64) -> Verdict {
+    if prospect.expected > prospect.left.mul_f64(FIRST_TOKEN_SHARE) {
+        let surplus = prospect.expected.saturating_sub(prospect.target / 2);
+        return Verdict::Refuse { retry_after: retry_after(surplus, draw) };
+    }
+    let late = prospect.elapsed + prospect.expected > prospect.target;
+    Verdict::Serve { priority: engine_priority(prospect.rank, late) }
+}
+
+/// Returns the time after which a refused caller may come back, where `wait` is the time until there
+/// is room.
+pub fn retry_after(wait: Duration, draw: f64) -> Duration {
+    wait.max(MIN_RETRY_AFTER).mul_f64(1.0 + SPREAD * draw)
+}
+
+/// Returns the engine's priority: by rank, and within a rank what can be on time goes first.
+fn engine_priority(rank: u8, late: bool) -> u8 {
+    (rank.saturating_mul(3) + if late { 2 } else { 0 }).min(LAST_PRIORITY)
+}
--- /dev/null
+++ b/savoryport_core/src/node/prefix.rs
@@ -0,0 +1,89 @@
+//! Which prompt prefixes each server has probably cached, from the requests that were sent there.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use crate::Name;
+use crate::node::request::PrefixKeys;
+
+/// The share of a full cache that is forgotten at once, so that eviction is not run per request.
+const EVICTED_SHARE: f64 = 0.2;
+
+/// Cached prefixes by server.
+#[derive(Debug, Clone, Default)]
+pub struct PrefixMap {
+    servers: HashMap<Name, ServerCache>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct ServerCache {
+    incarnation: u64,
+    tokens: u64,
+    parts: HashMap<u64, CachedPart>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct CachedPart {
+    tokens: u32,
+    used: Instant,
+}
+
+impl PrefixMap {
+    /// Returns how many of the prompt's tokens the server has probably cached.
+    pub fn cached_tokens(&self, server: &str, incarnation: u64, keys: &PrefixKeys) -> u32 {
+        let Some(cache) = self.servers.get(server) else { return 0 };
+        if cache.incarnation != incarnation {
+            return 0;
+        }
+        let cached = keys.iter().take_while(|(key, _)| cache.parts.contains_key(key));
+        cached.last().map_or(0, |(_, tokens)| *tokens)
+    }
+
+    /// Notes that a server has read a prompt; a cache of `capacity` tokens drops its oldest parts.
+    pub fn record(
+        &mut self,
+        server: &Name,
+        incarnation: u64,
+        keys: &PrefixKeys,
+        capacity: u64,
+        now: Instant,
+    ) {
+        let cache = self.servers.entry(server.clone()).or_default();
+        if cache.incarnation != incarnation {
+            *cache = ServerCache { incarnation, ..ServerCache::default() };
+        }
+        let mut before = 0;
+        for (key, tokens) in keys {
+            let part = CachedPart { tokens: tokens - before, used: now };
+            if cache.parts.insert(*key, part).is_none() {
+                cache.tokens += u64::from(part.tokens);
+            }
+            before = *tokens;
+        }
+        if cache.tokens > capacity {
+            cache.evict(capacity);
+        }
+    }
+
+    /// Forgets the servers that `keep` rejects.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.servers.retain(|server, _| keep(server));
+    }
+}
+
+impl ServerCache {
+    fn evict(&mut self, capacity: u64) {
+        let goal = (capacity as f64 * (1.0 - EVICTED_SHARE)) as u64;
+        let mut by_age: Vec<(Instant, u64)> =
+            self.parts.iter().map(|(key, part)| (part.used, *key)).collect();
+        by_age.sort_unstable();
+        for (_, key) in by_age {
+            if self.tokens <= goal {
+                return;
+            }
+            if let Some(part) = self.parts.remove(&key) {
+                self.tokens -= u64::from(part.tokens);
+            }
+        }
+    }
+}
--- a/savoryport_platform/src/connection.rs
+++ b/savoryport_platform/src/connection.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -17,10 +17,18 @@
 use savoryport_core::Name;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio_util::task::AbortOnDropHandle;
 
 /// The most idle connections that are kept for each server.
 const MAX_IDLE_PER_SERVER: usize = 64;
 
+/// A connection is given up this long before the server would close it.
+const CLOSE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Sent bytes that stay unacknowledged for this long end the connection: a path that went silent is
+/// not found out otherwise.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Why a request got no answer, apart by what the server may have seen of it.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -47,12 +55,23 @@
 pub struct Connection {
     address: Name,
     sender: SendRequest<Full<Bytes>>,
+    /// Closes the socket when the connection is dropped, whatever is under way on it.
+    _driver: AbortOnDropHandle<()>,
+}
+
+/// A connection in the pool.
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+    /// When the server closes it, if it said so.
+    until: Option<Instant>,
 }
 
 /// Open connections by address.
 #[derive(Debug, Clone, Default)]
 pub struct Pool {
-    idle: Arc<Mutex<HashMap<Name, Vec<Connection>>>>,
+    idle: Arc<Mutex<HashMap<Name, Vec<Idle>>>>,
 }
 
 impl Pool {
@@ -70,7 +89,22 @@
         may_reuse: bool,
         timeout: Duration,
     ) -> Result<Connection, SendError> {
-        if may_reuse && let Some(connection) = self.take_idle(address) {
+        let max_idle = if may_reuse { Duration::MAX } else { Duration::ZERO };
+        self.connect_within(address, max_idle, timeout).await
+    }
+
+    /// Returns a connection, one that was idle for no longer than `max_idle` if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::NotConnected`] where none came to stand in time.
+    pub async fn connect_within(
+        &self,
+        address: &Name,
+        max_idle: Duration,
+        timeout: Duration,
+    ) -> Result<Connection, SendError> {
+        if let Some(connection) = self.take_idle(address, max_idle) {
             return Ok(connection);
         }
         let not_connected = |problem: String| {
@@ -85,22 +119,36 @@
 
     /// Takes back a connection whose answer was read to its end.
     pub fn give_back(&self, connection: Connection) {
+        self.keep(connection, None);
+    }
+
+    /// Takes back a connection that the server closes after `keep_alive` without a request.
+    pub fn keep(&self, connection: Connection, keep_alive: Option<Duration>) {
         let mut idle = self.idle.lock().expect("no holder panics");
         let connections = idle.entry(connection.address.clone()).or_default();
         if !connection.sender.is_closed() && connections.len() < MAX_IDLE_PER_SERVER {
-            connections.push(connection);
+            let since = Instant::now();
+            let until = keep_alive.map(|time| since + time.saturating_sub(CLOSE_MARGIN));
+            connections.push(Idle { connection, since, until });
         }
     }
 
-    fn take_idle(&self, address: &Name) -> Option<Connection> {
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, address: &str) {
+        self.idle.lock().expect("no holder panics").remove(address);
+    }
+
+    fn take_idle(&self, address: &Name, max_idle: Duration) -> Option<Connection> {
         let mut idle = self.idle.lock().expect("no holder panics");
         let connections = idle.get_mut(address)?;
-        while let Some(connection) = connections.pop() {
-            if connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        let now = Instant::now();
+        connections.retain(|idle| {
+            !idle.connection.sender.is_closed() && idle.until.is_none_or(|until| now < until)
+        });
+        let position = connections.iter().rposition(|idle| {
+            idle.connection.sender.is_ready() && now.duration_since(idle.since) < max_idle
+        })?;
+        Some(connections.remove(position).connection)
     }
 }
 
@@ -117,9 +165,14 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.sender.send_request(req).await.map_err(|err| {
-            let (address, problem) = (self.address.clone(), err.to_string());
-            SendError::Broken { address, problem }
+        self.sender.try_send_request(req).await.map_err(|mut err| {
+            let (address, problem) = (self.address.clone(), err.error().to_string());
+            // The library hands the request back where nothing of it was written.
+            if err.take_message().is_some() {
+                SendError::NotConnected { address, problem }
+            } else {
+                SendError::Broken { address, problem }
+            }
         })
     }
 }
@@ -127,9 +180,12 @@
 async fn open(address: &Name) -> Result<Connection, String> {
     let stream = TcpStream::connect(&**address).await.map_err(|err| err.to_string())?;
     stream.set_nodelay(true).map_err(|err| err.to_string())?;
+    let unacknowledged_ms = USER_TIMEOUT.as_millis() as u32;
+    rustix::net::sockopt::set_tcp_user_timeout(&stream, unacknowledged_ms)
+        .map_err(|err| err.to_string())?;
     let (sender, driver) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|err| err.to_string())?;
-    // The driver owns the socket and ends with it.
-    tokio::spawn(driver);
-    Ok(Connection { address: address.clone(), sender })
+    // An error of the driver also reaches the request that is under way.
+    let driver = tokio::spawn(async { drop(driver.await) });
+    Ok(Connection { address: address.clone(), sender, _driver: AbortOnDropHandle::new(driver) })
 }
