Forget members that nobody vouches for any more

Members now expire 2.5 s after the last word of the node that vouched for them. With it: no order right after an unload (a load was refused once for each), and an adapter that requests still use keeps its place in the ledger.

--- a/savoryport/src/node/engine.rs
+++ b/savoryport/src/node/engine.rs
@@ -34,6 +34,9 @@
 /// Followers have heard of a withdrawn model after this time, so that its unload meets no request.
 const WITHDRAWAL_NOTICE: Duration = Duration::from_millis(120);
 
+/// An unload that meets no requests is done after this time; a load before that is refused.
+const UNLOAD_PAUSE: Duration = Duration::from_millis(40);
+
 /// A load that is not done after this many times its expected duration is looked up again.
 const MAX_LOAD_FACTOR: u32 = 4;
 
@@ -272,11 +275,7 @@
     async fn drop_adapter(&mut self, model: &Name, adapter: &Name) -> Result<(), OrderObstacle> {
         let order = Order::UnloadAdapter { model: model.clone(), adapter: adapter.clone() };
         self.arriving.remove(&(model.clone(), adapter.clone()));
-        let answer = self.give(&order, Duration::ZERO).await?;
-        if answer == OrderAnswer::Accepted {
-            // Requests still use it: it goes later, and only a report tells when.
-            self.ledger().doubt();
-        }
+        self.give(&order, Duration::ZERO).await?;
         self.publish();
         Ok(())
     }
@@ -301,6 +300,7 @@
         for model in &wanted.unload {
             let order = Order::UnloadModel(model.clone());
             self.insist(&order, Duration::ZERO).await?;
+            tokio::time::sleep(UNLOAD_PAUSE).await;
         }
         let (_, class) = self.target().ok_or(OrderObstacle::Unknown)?;
         let spec = class.models.get(&wanted.load).ok_or(OrderObstacle::NoModel)?;
--- a/savoryport/src/node/fleet.rs
+++ b/savoryport/src/node/fleet.rs
@@ -13,8 +13,11 @@
 use super::rpc::{Position, SyncReply};
 use super::view::{AcceptedConfig, DutyHolder, Member, View};
 
-/// A member that has not told anything for this long is not named to callers any more.
-const MEMBER_TIMEOUT: Duration = Duration::from_millis(500);
+/// A follower that has not told anything for this long is not named to callers any more.
+const FOLLOWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A member that only another node vouched for is forgotten this long after that node's last word.
+const HEARSAY_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Removals that are remembered for followers; one that is further behind gets everything.
 const MAX_REMOVALS: usize = 256;
@@ -48,7 +51,8 @@
     /// Removals up to here are forgotten.
     removals_from: u64,
     servers_revision: u64,
-    members: HashMap<Name, (Member, Option<Instant>)>,
+    /// Members with the time until which they count; this node is not among them.
+    members: HashMap<Name, (Member, Instant)>,
     holders: BTreeMap<Name, DutyHolder>,
     members_revision: u64,
     last_members: Vec<Member>,
@@ -65,7 +69,7 @@
             removals: VecDeque::new(),
             removals_from: 0,
             servers_revision: 0,
-            members: HashMap::from([(own.vm.clone(), (own.clone(), None))]),
+            members: HashMap::new(),
             holders: BTreeMap::new(),
             members_revision: 1,
             last_members: Vec::new(),
@@ -146,7 +150,8 @@
 
     /// Notes that a member told something.
     pub fn note_member(&mut self, member: Member, now: Instant) {
-        let known = self.members.insert(member.vm.clone(), (member.clone(), Some(now)));
+        let until = now + FOLLOWER_TIMEOUT;
+        let known = self.members.insert(member.vm.clone(), (member.clone(), until));
         if known.is_none_or(|(known, _)| known != member) {
             self.members_revision += 1;
         }
@@ -154,41 +159,45 @@
 
     /// Takes a member off, because it said so.
     pub fn remove_member(&mut self, vm: &str) {
-        if vm != &*self.own.vm && self.members.remove(vm).is_some() {
+        if self.members.remove(vm).is_some() {
             self.members_revision += 1;
         }
     }
 
     /// Replaces the members of one failure domain, as its duty holder tells them.
-    pub fn set_domain_members(&mut self, failure_domain: &str, members: Vec<Member>) {
-        let own = self.own.vm.clone();
-        self.members.retain(|vm, (member, _)| {
-            *vm == own || &*member.failure_domain != failure_domain
-        });
-        for member in members.into_iter().filter(|member| member.vm != own) {
-            self.members.insert(member.vm.clone(), (member, None));
-        }
-        self.members_revision += 1;
+    pub fn set_domain_members(&mut self, domain: &str, members: Vec<Member>, now: Instant) {
+        self.members.retain(|_, (member, _)| &*member.failure_domain != domain);
+        self.add_hearsay(members, now);
     }
 
     /// Replaces all members but this node.
-    pub fn set_members(&mut self, members: Vec<Member>) {
-        let own = self.own.clone();
-        self.members = members
-            .into_iter()
-            .filter(|member| member.vm != own.vm)
-            .map(|member| (member.vm.clone(), (member, None)))
-            .collect();
-        self.members.insert(own.vm.clone(), (own, None));
+    pub fn set_members(&mut self, members: Vec<Member>, now: Instant) {
+        self.members.clear();
+        self.add_hearsay(members, now);
+    }
+
+    fn add_hearsay(&mut self, members: Vec<Member>, now: Instant) {
+        let until = now + HEARSAY_TIMEOUT;
+        for member in members.into_iter().filter(|member| member.vm != self.own.vm) {
+            self.members.insert(member.vm.clone(), (member, until));
+        }
         self.members_revision += 1;
     }
 
-    /// Drops followers that fell silent.
+    /// Notes that the node which vouches for members still does, for those of one failure domain or
+    /// for all.
+    pub fn confirm_members(&mut self, domain: Option<&str>, now: Instant) {
+        for (member, until) in self.members.values_mut() {
+            if domain.is_none_or(|domain| &*member.failure_domain == domain) {
+                *until = now + HEARSAY_TIMEOUT;
+            }
+        }
+    }
+
+    /// Drops members that nobody heard of for too long.
     pub fn expire_members(&mut self, now: Instant) {
         let before = self.members.len();
-        self.members.retain(|_, (_, told)| {
-            told.is_none_or(|at| now.saturating_duration_since(at) < MEMBER_TIMEOUT)
-        });
+        self.members.retain(|_, (_, until)| now < *until);
         self.members_revision += u64::from(self.members.len() != before);
     }
 
@@ -215,10 +224,14 @@
 
     /// Returns the members of a failure domain, this node included.
     pub fn domain_members(&self, failure_domain: &str) -> Vec<Member> {
-        let members = self.members.values().map(|(member, _)| member);
+        let members = self.all_members();
         members.filter(|member| &*member.failure_domain == failure_domain).cloned().collect()
     }
 
+    fn all_members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values().map(|(member, _)| member).chain([&self.own])
+    }
+
     /// Fills a reply with what a follower at `have` lacks. With a domain only its servers and members
     /// are told.
     pub fn fill(&self, have: Position, tenure: u64, domain: Option<&str>, reply: &mut SyncReply) {
@@ -242,7 +255,7 @@
         if have.tenure != tenure || have.members != self.members_revision {
             let members = match domain {
                 Some(domain) => self.domain_members(domain),
-                None => self.members.values().map(|(member, _)| member.clone()).collect(),
+                None => self.all_members().cloned().collect(),
             };
             let holders =
                 self.holders.iter().map(|(domain, holder)| (domain.clone(), holder.clone()));
@@ -299,8 +312,7 @@
     }
 
     fn sorted_members(&self) -> Vec<Member> {
-        let mut members: Vec<Member> =
-            self.members.values().map(|(member, _)| member.clone()).collect();
+        let mut members: Vec<Member> = self.all_members().cloned().collect();
         members.sort_by(|a, b| a.vm.cmp(&b.vm));
         members
     }
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -41,6 +41,7 @@
     loop {
         let takes_servers = !*read_store.borrow();
         let must_read = step(&cx, &mut following, takes_servers).await;
+        cx.fleet.update(|state| state.expire_members(cx.now()));
         read_store.send_if_modified(|reads| std::mem::replace(reads, must_read) != must_read);
         tokio::time::sleep(period).await;
     }
@@ -128,8 +129,9 @@
         if takes_servers {
             state.apply_servers(&reply);
         }
+        state.confirm_members(None, now);
         if let Some((members, holders)) = &reply.members {
-            state.set_members(members.clone());
+            state.set_members(members.clone(), now);
             if takes_servers {
                 for (domain, holder) in holders {
                     state.set_holder(domain, Some(holder.clone()));
@@ -157,7 +159,6 @@
     };
     cx.hub.note_own(&cx.settings.vm, &work_ms, &prompts);
     let others = cx.hub.loads_but(None, true, now);
-    cx.fleet.update(|state| state.expire_members(now));
     let nodes = cx.fleet.view().members.len();
     let mut boards = cx.boards.lock();
     boards.loads.set_others(others);
@@ -233,8 +234,9 @@
             };
             state.set_residency(&server.id, residency);
         }
+        state.confirm_members(Some(domain), cx.now());
         if let Some((members, _)) = &reply.members {
-            state.set_domain_members(domain, members.clone());
+            state.set_domain_members(domain, members.clone(), cx.now());
         }
         if let Some(raw) = &reply.config {
             accept_config(state, raw, "node");
--- a/savoryport_core/src/node/orders.rs
+++ b/savoryport_core/src/node/orders.rs
@@ -269,6 +269,11 @@
         match answer {
             OrderAnswer::Accepted => {
                 self.count_order();
+                if let Order::UnloadAdapter { model, adapter } = order {
+                    // Requests still use it, so it keeps its place until they end.
+                    self.note_use(model, adapter, 1, now);
+                    return;
+                }
                 self.take_effect(order, now);
                 if matches!(order, Order::LoadModel(_) | Order::UnloadModel(_)) {
                     self.busy_until = Some(now + busy_for);
