--- a/savoryport/src/node/engine.rs
+++ b/savoryport/src/node/engine.rs
@@ -18,8 +18,12 @@
 use super::fleet::Residency;
 use super::rpc::WishReply;
 
-/// The time for one order or report.
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// The time for one report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// The time for the answer to an order. Servers answer at once; an order without an answer is given
+/// again, and the server carries out only one of the two.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The pause between reports while a server is busy or its contents are unknown. Reports lag by some
 /// hundred milliseconds, so asking more often tells nothing new.
@@ -32,7 +36,7 @@
 const MAX_ADAPTER_TRIES: usize = 4;
 
 /// Followers have heard of a withdrawn model after this time, so that its unload meets no request.
-const WITHDRAWAL_NOTICE: Duration = Duration::from_millis(120);
+const WITHDRAWAL_NOTICE: Duration = Duration::from_millis(300);
 
 /// An unload that meets no requests is done after this time; a load before that is refused.
 const UNLOAD_PAUSE: Duration = Duration::from_millis(40);
@@ -175,7 +179,7 @@
                 return true;
             }
             let Some((server, _)) = self.target() else { return false };
-            match engine::report(&self.cx.order_pool, &server, CALL_TIMEOUT).await {
+            match engine::report(&self.cx.order_pool, &server, REPORT_TIMEOUT).await {
                 Ok(report) => {
                     self.cx.metrics.reports.inc();
                     self.ledger().reset(&report, self.cx.now());
@@ -205,7 +209,7 @@
             expected_orders: expected,
         };
         let answer =
-            engine::order(&self.cx.order_pool, &server, order, authority, CALL_TIMEOUT).await;
+            engine::order(&self.cx.order_pool, &server, order, authority, ORDER_TIMEOUT).await;
         self.ledger().apply(order, answer, busy_for, self.cx.now());
         self.cx.metrics.note_order(order.name(), answer);
         log::info!(
@@ -329,9 +333,8 @@
             match answer {
                 OrderAnswer::Accepted | OrderAnswer::AlreadyHolds => return Ok(answer),
                 OrderAnswer::Rejected => return Err(OrderObstacle::Unknown),
-                OrderAnswer::Conflict | OrderAnswer::Unanswered => {
-                    tokio::time::sleep(REPORT_PAUSE).await;
-                }
+                OrderAnswer::Unanswered => {}
+                OrderAnswer::Conflict => tokio::time::sleep(REPORT_PAUSE).await,
             }
         }
         Err(OrderObstacle::Busy)
@@ -347,7 +350,7 @@
             self.is_moving.store(false, Ordering::Relaxed);
             return;
         };
-        let Ok(report) = engine::report(&self.cx.order_pool, &server, CALL_TIMEOUT).await else {
+        let Ok(report) = engine::report(&self.cx.order_pool, &server, REPORT_TIMEOUT).await else {
             return;
         };
         self.cx.metrics.reports.inc();
--- a/savoryport_core/src/node/orders.rs
+++ b/savoryport_core/src/node/orders.rs
@@ -116,6 +116,8 @@
 pub struct EngineLedger {
     incarnation: u64,
     accepted_orders: Option<u64>,
+    /// The server has accepted at least so many orders; a report with fewer is an old one.
+    floor: u64,
     busy_until: Option<Instant>,
     models: BTreeMap<Name, BTreeMap<Name, AdapterUse>>,
 }
@@ -127,8 +129,13 @@
 }
 
 impl EngineLedger {
-    /// Takes a report, which replaces everything.
-    pub fn reset(&mut self, report: &EngineReport, now: Instant) {
+    /// Takes a report, which replaces everything; returns whether it did. Reports lag, so one from
+    /// before an order that the server is known to have accepted tells nothing.
+    pub fn reset(&mut self, report: &EngineReport, now: Instant) -> bool {
+        let is_same_start = report.incarnation == self.incarnation;
+        if is_same_start && report.accepted_orders < self.floor {
+            return false;
+        }
         let fresh = AdapterUse { requests: 0, last_used: now };
         let known = std::mem::take(&mut self.models);
         let use_of = |model: &Name, adapter: &Name| {
@@ -144,7 +151,9 @@
         }
         self.incarnation = report.incarnation;
         self.accepted_orders = (!report.is_busy).then_some(report.accepted_orders);
+        self.floor = report.accepted_orders;
         self.busy_until = None;
+        true
     }
 
     /// Forgets what the count is; the next order needs a report first.
@@ -286,7 +295,9 @@
                 }
                 self.take_effect(order, now);
             }
-            OrderAnswer::Conflict | OrderAnswer::Rejected | OrderAnswer::Unanswered => self.doubt(),
+            // The same order again settles it: only one of the two finds the expected count.
+            OrderAnswer::Unanswered => {}
+            OrderAnswer::Conflict | OrderAnswer::Rejected => self.doubt(),
         }
     }
 
@@ -297,6 +308,7 @@
 
     fn count_order(&mut self) {
         self.accepted_orders = self.accepted_orders.map(|count| count + 1);
+        self.floor = self.accepted_orders.unwrap_or(self.floor);
     }
 
     fn take_effect(&mut self, order: &Order, now: Instant) {
