Keep adapters that other domains use, and let a request wait for a place

Cause: an unload of an adapter in use keeps its server busy until the last stream ends, up to two seconds, and the users in other failure domains were not known; requests whose adapter found no place were refused.

--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -18,6 +18,7 @@
 use super::metrics::NodeMetrics;
 use super::peers::Peers;
 use super::reader::StoreContact;
+use super::rpc::AdapterUse;
 use super::settings::NodeSettings;
 use super::view::Member;
 
@@ -69,6 +70,18 @@
         self.clock.now()
     }
 
+    /// Returns the adapters at servers of a failure domain that this domain's requests use.
+    pub fn adapters_in_domain(&self, domain: &str) -> Vec<AdapterUse> {
+        let view = self.fleet.view();
+        let mut uses = self.boards.lock().adapters_in_use();
+        uses.extend(self.hub.follower_adapters());
+        uses.retain(|usage| {
+            let server = view.servers.get(&usage.server);
+            server.is_some_and(|server| &*server.failure_domain == domain)
+        });
+        uses
+    }
+
     /// Returns a uniform number in 0..1.
     pub fn draw(&self) -> f64 {
         self.rng.lock().expect("no holder panics").random()
--- a/savoryport/src/node/dispatch.rs
+++ b/savoryport/src/node/dispatch.rs
@@ -14,8 +14,11 @@
 use super::rpc::WishReply;
 use super::view::View;
 
-/// Picks that one attempt may make before it is given up.
-const MAX_PICKS: usize = 6;
+/// The pause between two looks for a server with a place for an adapter.
+const PLACE_PAUSE: Duration = Duration::from_millis(60);
+
+/// The share of a request's time that it may wait for a place for its adapter.
+const PLACE_SHARE: f64 = 0.2;
 
 /// The time for a wish to another node.
 const WISH_TIMEOUT: Duration = Duration::from_millis(600);
@@ -72,25 +75,42 @@
             return Err(Refusal::retry(Cause::NotRun, COME_BACK.mul_f64(1.0 + self.cx.draw())));
         }
         let mut waited_for_model = false;
-        for _ in 0..MAX_PICKS {
-            match self.look() {
+        let mut without_place: Vec<Name> = Vec::new();
+        loop {
+            match self.look(&without_place) {
                 Look::Picked(picked, false) => return Ok(picked),
                 Look::Picked(picked, true) => {
                     if self.bring_adapter(&picked.server).await {
                         return Ok(picked);
                     }
-                    self.avoided.push(picked.server.id.clone());
+                    without_place.push(picked.server.id.clone());
+                }
+                Look::NoServer if self.may_wait_for_place() => {
+                    tokio::time::sleep(PLACE_PAUSE).await;
+                    without_place.clear();
                 }
                 Look::NoModel if !waited_for_model => {
                     self.await_model().await?;
                     waited_for_model = true;
                 }
                 Look::NoModel => return Err(self.later(Cause::NoModel)),
+                Look::NoServer if self.asks_adapter() => return Err(self.later(Cause::NoAdapter)),
                 Look::NoServer => return Err(self.later(Cause::NoServer)),
                 Look::Overload(wait) => return Err(Refusal::retry(Cause::Overload, wait)),
             }
         }
-        Err(self.later(Cause::NoAdapter))
+    }
+
+    fn asks_adapter(&self) -> bool {
+        self.head.generation.as_ref().is_some_and(|asked| asked.adapter.is_some())
+    }
+
+    /// Returns whether a request whose adapter has no place at present waits for one. Places become
+    /// free within a second or two as streams end.
+    fn may_wait_for_place(&self) -> bool {
+        let elapsed = self.cx.now() - self.arrived;
+        let whole = self.ends - self.arrived;
+        self.asks_adapter() && self.avoided.is_empty() && elapsed < whole.mul_f64(PLACE_SHARE)
     }
 
     fn later(&self, cause: Cause) -> Refusal {
@@ -106,9 +126,10 @@
         }
     }
 
-    fn look(&self) -> Look {
+    fn look(&self, without_place: &[Name]) -> Look {
         let view = self.cx.fleet.view();
-        let candidates = self.candidates(&view);
+        let mut candidates = self.candidates(&view);
+        candidates.retain(|(candidate, _)| !without_place.contains(&candidate.server.id));
         if candidates.is_empty() {
             let holds = |server: &&Arc<BackendServer>| {
                 self.head.generation.as_ref().is_some_and(|asked| server.holds(&asked.model))
@@ -148,7 +169,7 @@
             prefill_ms: choice.prefill_ms,
             expected: choice.expected,
         };
-        Look::Picked(picked, choice.candidate.lacks_adapter)
+        Look::Picked(picked, choice.candidate.adapter_orders > 0)
     }
 
     fn ready<'a>(&'a self, view: &'a View) -> impl Iterator<Item = &'a Arc<BackendServer>> {
@@ -157,17 +178,21 @@
 
     fn candidates<'a>(&'a self, view: &'a View) -> Vec<(Candidate<'a>, &'a Arc<BackendServer>)> {
         let nodes = view.members.len().max(1) as u32;
-        let limit = self.deployment.services.get(&self.service).map(|known| known.connection_limit);
-        let share = limit.map_or(u32::MAX, |limit| (limit / nodes).max(1));
+        let service = self.deployment.services.get(&self.service);
+        let limit = service.map_or(u32::MAX, |service| service.connection_limit);
+        let share = (limit / nodes).max(1);
+        let class = service.and_then(|service| service.engine.as_ref());
+        let adapter_places = class.map_or(0, |class| class.adapter_places);
         let boards = self.cx.boards.lock();
         let own = boards.loads.own();
         self.ready(view)
             .filter(|server| !self.tried.contains(&server.id) && !self.avoided.contains(&server.id))
             .filter(|server| own.get(&server.id).is_none_or(|load| load.running < share))
             .filter_map(|server| {
-                let lacks_adapter = lacks_adapter(server, self.head.generation.as_ref())?;
+                let adapter_orders =
+                    adapter_orders(server, self.head.generation.as_ref(), adapter_places)?;
                 let distance = self.distance(server);
-                Some((Candidate { server, distance, lacks_adapter }, server))
+                Some((Candidate { server, distance, adapter_orders }, server))
             })
             .collect()
     }
@@ -245,12 +270,22 @@
     }
 }
 
-/// Returns whether the adapter has to be loaded first, and nothing where the model is not there.
-fn lacks_adapter(server: &BackendServer, asked: Option<&Generation>) -> Option<bool> {
-    let Some(asked) = asked else { return Some(false) };
+/// Returns how many orders bring the adapter to the server, and nothing where the model is not there
+/// or the server takes no orders.
+fn adapter_orders(
+    server: &BackendServer,
+    asked: Option<&Generation>,
+    places: usize,
+) -> Option<u8> {
+    let Some(asked) = asked else { return Some(0) };
     if !server.holds(&asked.model) {
         return None;
     }
-    let adapter = asked.adapter.as_deref();
-    Some(adapter.is_some_and(|adapter| !server.holds_adapter(&asked.model, adapter)))
+    match asked.adapter.as_deref() {
+        Some(adapter) if !server.holds_adapter(&asked.model, adapter) => {
+            let taken: usize = server.models.iter().map(|model| model.adapters.len()).sum();
+            (!server.is_busy).then_some(if taken < places { 1 } else { 2 })
+        }
+        _ => Some(0),
+    }
 }
--- a/savoryport/src/node/engine.rs
+++ b/savoryport/src/node/engine.rs
@@ -391,7 +391,8 @@
                 held.adapters.push(adapter.clone());
             }
         }
-        let residency = Residency { incarnation: ledger.incarnation(), models };
+        let is_busy = self.loading.is_some() || !self.withdrawn.is_empty();
+        let residency = Residency { incarnation: ledger.incarnation(), models, is_busy };
         drop(ledger);
         self.cx.fleet.update(|state| state.set_residency(&self.server, residency));
     }
--- a/savoryport/src/node/fleet.rs
+++ b/savoryport/src/node/fleet.rs
@@ -29,6 +29,8 @@
     pub incarnation: u64,
     /// Models that it can serve.
     pub models: Vec<ResidentModel>,
+    /// Whether it carries out an order that keeps it from others.
+    pub is_busy: bool,
 }
 
 /// Shared beliefs with a channel of snapshots.
@@ -339,11 +341,14 @@
             let residency =
                 self.residency.get(&server.id).filter(|known| known.incarnation == server.incarnation);
             let models = residency.map_or(&server.models, |known| &known.models);
+            let is_busy = residency.map_or(server.is_busy, |known| known.is_busy);
             let is_same = self.published.get(&server.id).is_some_and(|(_, known)| {
-                known.models == *models && is_same_but_models(known, server)
+                known.models == *models
+                    && known.is_busy == is_busy
+                    && is_same_but_models(known, server)
             });
             if !is_same {
-                let merged = BackendServer { models: models.clone(), ..server.clone() };
+                let merged = BackendServer { models: models.clone(), is_busy, ..server.clone() };
                 self.servers_revision += 1;
                 let entry = (self.servers_revision, Arc::new(merged));
                 self.published.insert(server.id.clone(), entry);
--- a/savoryport/src/node/hub.rs
+++ b/savoryport/src/node/hub.rs
@@ -34,7 +34,7 @@
 #[derive(Debug, Default)]
 struct HubState {
     followers: HashMap<Name, Told>,
-    domains: HashMap<Name, (Loads, Instant)>,
+    domains: HashMap<Name, Told>,
     work_ms: HashMap<Name, f64>,
     prompts: VecDeque<(u64, Name, PromptRecord)>,
     prompt_count: u64,
@@ -47,6 +47,12 @@
     at: Instant,
 }
 
+impl Told {
+    fn new(at: Instant) -> Self {
+        Self { loads: Loads::new(), adapters: Vec::new(), at }
+    }
+}
+
 impl Hub {
     fn lock(&self) -> MutexGuard<'_, HubState> {
         self.0.lock().expect("no holder panics")
@@ -69,7 +75,17 @@
 
     /// Takes the sums of another failure domain.
     pub fn note_domain(&self, domain: &Name, loads: Vec<(Name, ServerLoad)>, now: Instant) {
-        self.lock().domains.insert(domain.clone(), (loads.into_iter().collect(), now));
+        let mut state = self.lock();
+        let told = state.domains.entry(domain.clone()).or_insert_with(|| Told::new(now));
+        told.loads = loads.into_iter().collect();
+        told.at = now;
+    }
+
+    /// Takes the adapters of this domain's servers that another failure domain uses.
+    fn note_domain_adapters(&self, domain: &Name, adapters: Vec<AdapterUse>, now: Instant) {
+        let mut state = self.lock();
+        let told = state.domains.entry(domain.clone()).or_insert_with(|| Told::new(now));
+        told.adapters = adapters;
     }
 
     /// Takes this node's own work and prompts.
@@ -85,11 +101,18 @@
     }
 
     /// Returns the adapters that followers use.
-    pub fn adapters_in_use(&self) -> Vec<AdapterUse> {
+    pub fn follower_adapters(&self) -> Vec<AdapterUse> {
         let state = self.lock();
         state.followers.values().flat_map(|told| told.adapters.iter().cloned()).collect()
     }
 
+    /// Returns the adapters that followers and other failure domains use.
+    pub fn adapters_in_use(&self) -> Vec<AdapterUse> {
+        let state = self.lock();
+        let told = state.followers.values().chain(state.domains.values());
+        told.flat_map(|told| told.adapters.iter().cloned()).collect()
+    }
+
     /// Returns what followers and other failure domains have under way, without one follower.
     pub fn loads_but(&self, vm: Option<&str>, with_domains: bool, now: Instant) -> Loads {
         let mut state = self.lock();
@@ -101,9 +124,8 @@
                 add_loads(&mut sum, &told.loads);
             }
         }
-        let domains = state.domains.values().filter(|(_, at)| with_domains && is_fresh(*at));
-        for (loads, _) in domains {
-            add_loads(&mut sum, loads);
+        for told in state.domains.values().filter(|told| with_domains && is_fresh(told.at)) {
+            add_loads(&mut sum, &told.loads);
         }
         sum
     }
@@ -162,7 +184,9 @@
             }
             Role::Holder => {
                 let loads = req.loads.clone();
-                cx.hub.note_domain(&req.member.failure_domain, loads, now);
+                let asking = &req.member.failure_domain;
+                cx.hub.note_domain(asking, loads, now);
+                cx.hub.note_domain_adapters(asking, req.adapters.clone(), now);
                 cx.hub.loads_but(None, false, now)
             }
         };
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -209,7 +209,7 @@
         have: Position { config: cx.fleet.view().version(), ..have },
         loads: loads.into_iter().collect(),
         work_ms: Vec::new(),
-        adapters: Vec::new(),
+        adapters: cx.adapters_in_domain(domain),
         prompts: Vec::new(),
         config: None,
     };
@@ -231,6 +231,7 @@
             let residency = super::fleet::Residency {
                 incarnation: server.incarnation,
                 models: server.models.clone(),
+                is_busy: server.is_busy,
             };
             state.set_residency(&server.id, residency);
         }
--- a/savoryport_core/src/node/registry.rs
+++ b/savoryport_core/src/node/registry.rs
@@ -46,6 +46,8 @@
         pub incarnation: u64,
         /// Models in accelerator memory.
         pub models: Vec<ResidentModel>,
+        /// Whether it carries out an order that keeps it from others.
+        pub is_busy: bool,
         /// Models of which host memory keeps a copy.
         pub in_memory: Vec<Name>,
         /// Models of which the disk keeps a copy.
--- a/savoryport_core/src/node/selection.rs
+++ b/savoryport_core/src/node/selection.rs
@@ -159,8 +159,8 @@
     pub server: &'a BackendServer,
     /// How far it is.
     pub distance: Distance,
-    /// Whether the adapter has to be loaded first.
-    pub lacks_adapter: bool,
+    /// Orders that it takes until the adapter is there: none, a load, or an unload and a load.
+    pub adapter_orders: u8,
 }
 
 /// A candidate with what is expected of it.
@@ -205,7 +205,7 @@
         Distance::Region => cx.costs.other_domain_ms,
         Distance::Far => cx.costs.other_region_ms,
     };
-    let adapter_ms = if candidate.lacks_adapter { cx.costs.adapter_load_ms } else { 0.0 };
+    let adapter_ms = cx.costs.adapter_load_ms * f64::from(candidate.adapter_orders);
     let failures_ms = cx.health.failure_rate(&server.id) * MS_PER_FAILURE_RATE;
     let total_ms = expected_ms + distance_ms + adapter_ms;
     Choice {
