Count a move under way when the next one is decided

Cause: a look at the placement saw only what the ledgers held, so each domain loaded two copies of a model that had just become busy; servers that load take no adapters. Demand falls with 3 s, so that what was busy before a shift makes way.

--- a/savoryport/src/node/desk.rs
+++ b/savoryport/src/node/desk.rs
@@ -14,6 +14,7 @@
     next_move, weight_source,
 };
 use savoryport_core::node::registry::BackendServer;
+use smallvec::SmallVec;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -298,12 +299,21 @@
             .filter_map(|server| {
                 let engine = desk.engine(&server.id)?;
                 let ledger = engine.ledger();
-                let is_open = !engine.is_moving()
+                let moving = engine.moving();
+                let mut models: SmallVec<[Name; 4]> = ledger.models().cloned().collect();
+                if let Some(moving) = &moving {
+                    // What a move will bring counts at once, or the next look would decide it again.
+                    models.retain(|model| !moving.unload.contains(model));
+                    if !models.contains(&moving.load) {
+                        models.push(moving.load.clone());
+                    }
+                }
+                let is_open = moving.is_none()
                     && ledger.expected_orders().is_some()
                     && !ledger.is_busy(now);
                 Some(PlacementServer {
                     server,
-                    models: ledger.models().cloned().collect(),
+                    models,
                     free_mb: ledger.free_mb(class),
                     is_open,
                     loaded_at: self.loaded_at.get(&server.id).unwrap_or(&no_loads),
--- a/savoryport/src/node/engine.rs
+++ b/savoryport/src/node/engine.rs
@@ -1,7 +1,6 @@
 //! Gives orders to one model engine, one after the other.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -65,7 +64,8 @@
 pub struct EngineHandle {
     commands: mpsc::UnboundedSender<Command>,
     ledger: Arc<Mutex<EngineLedger>>,
-    is_moving: Arc<AtomicBool>,
+    /// The move under way.
+    moving: Arc<Mutex<Option<Move>>>,
 }
 
 impl EngineHandle {
@@ -75,14 +75,14 @@
         let handle = Self {
             commands,
             ledger: Arc::default(),
-            is_moving: Arc::new(AtomicBool::new(false)),
+            moving: Arc::default(),
         };
         let task = EngineTask {
             cx: cx.clone(),
             desk: desk.clone(),
             server: server.clone(),
             ledger: handle.ledger.clone(),
-            is_moving: handle.is_moving.clone(),
+            moving: handle.moving.clone(),
             loading: None,
             withdrawn: Vec::new(),
             arriving: HashMap::new(),
@@ -93,17 +93,17 @@
 
     /// Hands a command over; one for an engine that is gone is dropped.
     pub fn send(&self, command: Command) {
-        if matches!(command, Command::Move(_)) {
-            self.is_moving.store(true, Ordering::Relaxed);
+        if let Command::Move(wanted) = &command {
+            *self.moving.lock().expect("no holder panics") = Some(wanted.clone());
         }
         if self.commands.send(command).is_err() {
-            self.is_moving.store(false, Ordering::Relaxed);
+            *self.moving.lock().expect("no holder panics") = None;
         }
     }
 
-    /// Returns whether a load or unload of a model is under way.
-    pub fn is_moving(&self) -> bool {
-        self.is_moving.load(Ordering::Relaxed)
+    /// Returns the move under way.
+    pub fn moving(&self) -> Option<Move> {
+        self.moving.lock().expect("no holder panics").clone()
     }
 
     /// Locks the ledger for a moment.
@@ -125,7 +125,7 @@
     desk: Arc<Desk>,
     server: Name,
     ledger: Arc<Mutex<EngineLedger>>,
-    is_moving: Arc<AtomicBool>,
+    moving: Arc<Mutex<Option<Move>>>,
     loading: Option<Loading>,
     /// Models that are about to be dropped.
     withdrawn: Vec<Name>,
@@ -164,6 +164,10 @@
         self.ledger.lock().expect("no holder panics")
     }
 
+    fn end_move(&self) {
+        *self.moving.lock().expect("no holder panics") = None;
+    }
+
     /// Returns the server and the specification of its engines, while both exist.
     fn target(&self) -> Option<(Arc<BackendServer>, EngineClass)> {
         let view = self.cx.fleet.view();
@@ -294,7 +298,7 @@
             log::info!(
                 server = &*self.server, model = &*wanted.load, problem:% = problem; "move given up"
             );
-            self.is_moving.store(false, Ordering::Relaxed);
+            self.end_move();
         }
         self.withdrawn.clear();
         self.publish();
@@ -314,7 +318,7 @@
             let model = wanted.load.clone();
             self.loading = Some(Loading { model, since: self.cx.now(), expected });
         } else {
-            self.is_moving.store(false, Ordering::Relaxed);
+            self.end_move();
         }
         Ok(())
     }
@@ -347,7 +351,7 @@
         let overdue = self.cx.now() - since > loading.expected * MAX_LOAD_FACTOR;
         let Some((server, _)) = self.target() else {
             self.loading = None;
-            self.is_moving.store(false, Ordering::Relaxed);
+            self.end_move();
             return;
         };
         let Ok(report) = engine::report(&self.cx.order_pool, &server, REPORT_TIMEOUT).await else {
@@ -362,7 +366,7 @@
                 took_ms = (self.cx.now() - since).as_millis() as u64; "load ended"
             );
             self.loading = None;
-            self.is_moving.store(false, Ordering::Relaxed);
+            self.end_move();
             let mut ledger = self.ledger();
             if is_done && !restarted {
                 ledger.settled();
--- a/savoryport/src/node/relay.rs
+++ b/savoryport/src/node/relay.rs
@@ -68,6 +68,10 @@
     /// A server's own failure, which is passed on if nothing better comes.
     failure: Option<(StatusCode, HeaderMap, Bytes)>,
     pub(super) last_server: Option<Name>,
+    /// What was expected of the last server, for the log.
+    expected: Duration,
+    /// Time from arrival to the first token, for the log.
+    pub(super) first_token: Option<Duration>,
 }
 
 /// What came of sending the request to a server.
@@ -150,6 +154,8 @@
             in_doubt: false,
             failure: None,
             last_server: None,
+            expected: Duration::ZERO,
+            first_token: None,
         })
     }
 
@@ -238,6 +244,8 @@
             model = model, server = self.last_server.as_deref().unwrap_or(""),
             attempts = self.tried.len(), outcome = outcome, status = status,
             elapsed_ms = elapsed.as_millis() as u64,
+            expected_ms = self.expected.as_millis() as u64,
+            first_token_ms = self.first_token.map_or(0, |took| took.as_millis() as u64),
             retry_after_ms = retry_after.map_or(0, |wait| wait.as_millis() as u64),
             config = self.deployment.version; "request ended"
         );
@@ -288,6 +296,8 @@
             in_doubt: self.in_doubt,
             failure: None,
             last_server: self.last_server.clone(),
+            expected: self.expected,
+            first_token: None,
         }
     }
 
@@ -295,6 +305,7 @@
     async fn open(&mut self, picked: &Picked, resume_after: Option<u64>) -> Answered {
         let server = &picked.server;
         self.last_server = Some(server.id.clone());
+        self.expected = picked.expected;
         let max_idle = match self.route.kind {
             RequestKind::NonIdempotent => FRESH_CONNECTION,
             _ => Duration::MAX,
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -152,6 +152,8 @@
                 Err(_) => return End::Broken,
             };
             opened.flight.first_token();
+            let relay = &mut self.relay;
+            relay.first_token.get_or_insert_with(|| relay.cx.now() - relay.arrived);
             if let Some(end) = self.take(data).await {
                 return end;
             }
--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -21,7 +21,7 @@
 const FIRST_COPY_SHARE: f64 = 0.04;
 
 /// A copy makes way only for one that is worth this many times as much.
-const GAIN_FACTOR: f64 = 2.0;
+const GAIN_FACTOR: f64 = 1.5;
 
 /// A copy that is younger than this stays, so that two models do not displace each other in turn.
 const MIN_COPY_AGE: Duration = Duration::from_secs(4);
@@ -293,7 +293,7 @@
 const RISE: Duration = Duration::from_millis(1_200);
 
 /// The time constant with which demand falls.
-const FALL: Duration = Duration::from_secs(6);
+const FALL: Duration = Duration::from_secs(3);
 
 /// Below this a model counts as not asked for.
 const NEGLIGIBLE: f64 = 1e-4;
