Load copies for sustained demand, and wait for a server that is only slow

Cause: (1) one request was enough for a load, and models that merely had not registered yet were loaded at the start; single requests now stay below the threshold, a missing model is restored after 3 s unless it is asked for. (2) under load, requests were cancelled after four times the expected time and read anew elsewhere, which added the prefill twice; they now go elsewhere early only from a server that is silent.

--- a/savoryport/src/node/desk.rs
+++ b/savoryport/src/node/desk.rs
@@ -27,6 +27,10 @@
 /// A wish for a model that nobody holds counts as demand for this long.
 const WISH_LIFETIME: Duration = Duration::from_millis(1_500);
 
+/// A model that nobody asks for is restored when it was missing for this long: servers that start
+/// register within a heartbeat or two, and their models with them.
+const RESTORE_AFTER: Duration = Duration::from_secs(3);
+
 /// Loads that one look at the placement may begin.
 const MAX_MOVES_PER_LOOK: usize = 4;
 
@@ -55,6 +59,8 @@
 struct Planner {
     demand: DemandAverage,
     allowance: Option<LoadAllowance>,
+    /// Models that no server holds, and since when.
+    missing_since: HashMap<Name, Instant>,
     /// Models that requests wait for, and since when.
     wishes: HashMap<Name, Instant>,
     loaded_at: HashMap<Name, HashMap<Name, Instant>>,
@@ -242,7 +248,12 @@
     }
     planner.wishes.retain(|_, at| now.saturating_duration_since(*at) < WISH_LIFETIME);
     let holders = holders_by_model(view, service);
-    let owned = owned_models(view, service, class, &desk.domain);
+    let mut owned = owned_models(view, service, class, &desk.domain);
+    planner.missing_since.retain(|model, _| !holders.contains_key(model));
+    owned.retain(|model| {
+        let since = *planner.missing_since.entry(model.clone()).or_insert(now);
+        !holders.contains_key(model) && now.saturating_duration_since(since) >= RESTORE_AFTER
+    });
     let demand = planner.demand_with_wishes();
     for _ in 0..MAX_MOVES_PER_LOOK {
         let chosen = planner.choose(cx, desk, class, servers, &holders, &owned, &demand);
--- a/savoryport/src/node/relay.rs
+++ b/savoryport/src/node/relay.rs
@@ -32,12 +32,19 @@
 /// Connections that one request may fail to open.
 const MAX_UNREACHABLE: u32 = 4;
 
-/// A repeatable request that got no answer within this many times what was expected goes elsewhere.
+/// A repeatable request that got no answer within this many times what was expected goes elsewhere,
+/// if its server is silent.
 const STALL_FACTOR: u32 = 4;
 
 /// No answer is waited for shorter than this before a repeatable request goes elsewhere.
 const MIN_STALL: Duration = Duration::from_millis(250);
 
+/// The share of the target after which going elsewhere cannot be on time any more.
+const STALL_TARGET_SHARE: f64 = 0.6;
+
+/// The share of the time left that a repeatable request waits for its first server.
+const LONG_PATIENCE_SHARE: f64 = 0.5;
+
 /// The rest of an answer that did not run is read for this long, to keep the connection.
 const REST_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -86,6 +93,8 @@
 pub(super) struct Opened {
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
+    /// The first bytes of a stream.
+    pub(super) first: Option<Bytes>,
     pub(super) body: Incoming,
     pub(super) connection: Connection,
     pub(super) flight: Flight,
@@ -321,22 +330,33 @@
         self.tried.push(server.id.clone());
         let sent_at = self.cx.now();
         let req = self.request(picked, resume_after);
-        match tokio::time::timeout(self.patience(picked), connection.send(req)).await {
-            Ok(Ok(answer)) => {
+        let send = async {
+            let mut answer = connection.send(req).await?;
+            let first = first_frame(&self.route, &mut answer).await;
+            Ok::<_, SendError>((answer, first))
+        };
+        match self.with_patience(picked, sent_at, send).await {
+            Some(Ok((_, First::Broken))) => self.broken(&server.id),
+            Some(Ok((answer, first))) => {
                 let (parts, body) = answer.into_parts();
                 let kind = answer_kind(parts.status, &parts.headers, &self.head.id);
                 let (status, headers) = (parts.status, parts.headers);
-                Answered::Head(Opened { status, headers, body, connection, flight }, kind)
+                self.cx.boards.lock().health.heard(&server.id, self.cx.now());
+                let first = match first {
+                    First::Data(data) => Some(data),
+                    First::None | First::Broken => None,
+                };
+                Answered::Head(Opened { status, headers, first, body, connection, flight }, kind)
             }
-            Ok(Err(err @ SendError::NotConnected { .. })) => {
+            Some(Err(err @ SendError::NotConnected { .. })) => {
                 self.tried.pop();
                 self.not_connected(picked, &err)
             }
-            Ok(Err(err)) => {
+            Some(Err(err)) => {
                 log::debug!(request = &*self.head.id, server = &*server.id, err:% = err; "broken");
                 self.broken(&server.id)
             }
-            Err(_) => {
+            None => {
                 log::debug!(
                     request = &*self.head.id, server = &*server.id,
                     waited_ms = (self.cx.now() - sent_at).as_millis() as u64; "no answer"
@@ -376,15 +396,32 @@
         Answered::Failed
     }
 
-    /// Returns how long the head of an answer is waited for.
-    fn patience(&self, picked: &Picked) -> Duration {
+    /// Waits for the beginning of an answer. A request that may go elsewhere does so soon if its server
+    /// sends nothing to anybody; one at a server that is only slow waits longer, since a second
+    /// prefill would make all others slower still.
+    async fn with_patience<T>(
+        &self,
+        picked: &Picked,
+        sent_at: Instant,
+        answer: impl Future<Output = T>,
+    ) -> Option<T> {
+        let mut answer = std::pin::pin!(answer);
         let can_go_elsewhere = self.route.kind.is_repeatable()
             && (self.tried.len() as u32) < self.route.max_attempts;
         if !can_go_elsewhere {
-            return self.left();
+            return tokio::time::timeout(self.left(), answer).await.ok();
+        }
+        let stall = (picked.expected * STALL_FACTOR).max(MIN_STALL);
+        if stall < self.route.target.mul_f64(STALL_TARGET_SHARE) {
+            if let Ok(answer) = tokio::time::timeout(stall, answer.as_mut()).await {
+                return Some(answer);
+            }
+            if !self.cx.boards.lock().health.was_heard_since(&picked.server.id, sent_at) {
+                return None;
+            }
         }
-        let stall = (picked.expected * STALL_FACTOR).max(self.route.target).max(MIN_STALL);
-        stall.min(self.left())
+        let patience = self.left().mul_f64(LONG_PATIENCE_SHARE);
+        tokio::time::timeout(patience, answer).await.ok()
     }
 
     fn request(&self, picked: &Picked, resume_after: Option<u64>) -> Request<Full<Bytes>> {
@@ -411,7 +448,7 @@
     }
 
     async fn whole_answer(&mut self, opened: Opened, picked: &Picked) -> Attempt {
-        let Opened { status, mut headers, body, connection, mut flight } = opened;
+        let Opened { status, mut headers, body, connection, mut flight, .. } = opened;
         match collect(body, self.left()).await {
             Some(body) => {
                 flight.first_token();
@@ -499,6 +536,27 @@
     }
 }
 
+/// The beginning of an answer's body.
+enum First {
+    /// Not read, or the body is empty.
+    None,
+    Data(Bytes),
+    Broken,
+}
+
+/// Waits for the first bytes of a stream. The head is passed on only with them: an answer that breaks
+/// off before can still become another one.
+async fn first_frame(route: &Route, answer: &mut Response<Incoming>) -> First {
+    if !route.kind.is_stream() || !answer.status().is_success() {
+        return First::None;
+    }
+    match answer.body_mut().frame().await {
+        Some(Ok(frame)) => frame.into_data().map_or(First::None, First::Data),
+        Some(Err(_)) => First::Broken,
+        None => First::None,
+    }
+}
+
 /// Reads a body to its end; returns nothing if it broke off, was too long or took too long.
 async fn collect(body: Incoming, within: Duration) -> Option<Bytes> {
     let limited = Limited::new(body, MAX_ANSWER_BYTES);
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -137,6 +137,12 @@
 
     /// Passes a server's bytes on until its stream ends.
     async fn pass(&mut self, opened: &mut Opened) -> End {
+        if let Some(first) = opened.first.take() {
+            self.note_first_token(opened);
+            if let Some(end) = self.take(first).await {
+                return end;
+            }
+        }
         loop {
             let left = self.relay.left();
             let gap = if self.is_resumable { MAX_GAP.min(left) } else { left };
@@ -151,15 +157,19 @@
                 Err(_) if self.relay.left().is_zero() => return End::TimedOut,
                 Err(_) => return End::Broken,
             };
-            opened.flight.first_token();
-            let relay = &mut self.relay;
-            relay.first_token.get_or_insert_with(|| relay.cx.now() - relay.arrived);
+            self.note_first_token(opened);
             if let Some(end) = self.take(data).await {
                 return end;
             }
         }
     }
 
+    fn note_first_token(&mut self, opened: &mut Opened) {
+        opened.flight.first_token();
+        let relay = &mut self.relay;
+        relay.first_token.get_or_insert_with(|| relay.cx.now() - relay.arrived);
+    }
+
     /// Passes bytes on; those of a resumable stream event by event.
     async fn take(&mut self, data: Bytes) -> Option<End> {
         if !self.is_resumable {
--- a/savoryport_core/src/node/health.rs
+++ b/savoryport_core/src/node/health.rs
@@ -39,6 +39,7 @@
     failure_rate: f64,
     unreachable_in_a_row: u32,
     paused_until: Option<Instant>,
+    last_heard: Option<Instant>,
 }
 
 impl HealthBoard {
@@ -57,6 +58,17 @@
         }
     }
 
+    /// Notes that the server sent something.
+    pub fn heard(&mut self, server: &Name, now: Instant) {
+        self.servers.entry(server.clone()).or_default().last_heard = Some(now);
+    }
+
+    /// Returns whether the server sent something to anybody here since then.
+    pub fn was_heard_since(&self, server: &str, since: Instant) -> bool {
+        let heard = self.servers.get(server).and_then(|health| health.last_heard);
+        heard.is_some_and(|at| at > since)
+    }
+
     /// Returns whether the server is left alone for now.
     pub fn is_paused(&self, server: &str, now: Instant) -> bool {
         let paused = self.servers.get(server).and_then(|health| health.paused_until);
--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -17,8 +17,9 @@
 /// The share of a server's time that one copy serves before another one is worth a load.
 const FULL_COPY_SHARE: f64 = 0.45;
 
-/// The work in servers' worth from which a domain without a copy gets one of its own.
-const FIRST_COPY_SHARE: f64 = 0.04;
+/// The work in servers' worth from which a domain without a copy gets one of its own. Single requests
+/// stay below it.
+const FIRST_COPY_SHARE: f64 = 0.12;
 
 /// A copy makes way only for one that is worth this many times as much.
 const GAIN_FACTOR: f64 = 1.5;
@@ -26,8 +27,12 @@
 /// A copy that is younger than this stays, so that two models do not displace each other in turn.
 const MIN_COPY_AGE: Duration = Duration::from_secs(4);
 
-/// The value of a copy of a model that nobody holds, in servers' worth.
-const MISSING_VALUE: f64 = 0.5;
+/// The value of a copy of a model that nobody holds and nobody asks for, in servers' worth. Overloaded
+/// models go first: the load of the other one can follow when a request comes.
+const MISSING_VALUE: f64 = 0.1;
+
+/// The value of a copy of a model that nobody holds and requests wait for.
+const AWAITED_VALUE: f64 = 0.4;
 
 /// Where a server would take a model's weights from, the quickest first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -148,8 +153,11 @@
     let demand = input.demand.get(model).copied().unwrap_or(0.0);
     let here = copies.get(model).copied().unwrap_or(0);
     let anywhere = here > 0 || input.holders.get(model).is_some_and(|held| !held.is_empty());
-    if !anywhere && (demand > 0.0 || input.owned.contains(model)) {
-        return MISSING_VALUE + demand;
+    if !anywhere && demand > 0.0 {
+        return AWAITED_VALUE + demand;
+    }
+    if !anywhere && input.owned.contains(model) {
+        return MISSING_VALUE;
     }
     let share = demand / here.max(1) as f64;
     match here {
@@ -290,7 +298,7 @@
 }
 
 /// The time constant with which demand rises.
-const RISE: Duration = Duration::from_millis(1_200);
+const RISE: Duration = Duration::from_millis(2_000);
 
 /// The time constant with which demand falls.
 const FALL: Duration = Duration::from_secs(3);
