Drain a copy before it is dropped, and bring a missing model back in one domain

Cause: an unload that meets requests keeps its server from all orders until they end (seconds at a loaded server), and a model that nobody held was loaded in each domain that asked for it. Copies are now withdrawn and dropped when idle; the owner domain, found by rendezvous hashing, brings a missing model back.

--- a/savoryport/src/node/boards.rs
+++ b/savoryport/src/node/boards.rs
@@ -11,13 +11,13 @@
 use savoryport_core::node::prefix::PrefixMap;
 use savoryport_core::node::selection::{SelectionContext, SelectionCosts, Speeds};
 
-use super::rpc::{AdapterUse, PromptRecord};
+use super::rpc::{CopyUse, PromptRecord};
 
 /// Prompt records that wait for the next sync at most; older ones are of little use by then.
 const MAX_PROMPTS: usize = 512;
 
-/// An adapter of a model at a server.
-pub type AdapterKey = (Name, Name, Name);
+/// A copy at a server: the model, and the adapter that requests name.
+pub type CopyKey = (Name, Name, Option<Name>);
 
 /// The boards of a node.
 #[derive(Debug)]
@@ -32,8 +32,8 @@
     pub speeds: Speeds,
     /// Repeats that are left.
     pub budget: RetryBudget,
-    /// Requests under way by adapter.
-    pub adapters: HashMap<AdapterKey, u32>,
+    /// Requests under way by copy.
+    pub copies: HashMap<CopyKey, u32>,
     /// Work by model since the last sync, in milliseconds.
     pub work_ms: HashMap<Name, f64>,
     /// Prompts sent since the last sync.
@@ -54,7 +54,7 @@
             health: HealthBoard::default(),
             speeds: Speeds::default(),
             budget: RetryBudget::new(bound, nodes),
-            adapters: HashMap::new(),
+            copies: HashMap::new(),
             work_ms: HashMap::new(),
             prompts: Vec::new(),
             costs,
@@ -89,9 +89,9 @@
         }
     }
 
-    /// Returns the adapters in use.
-    pub fn adapters_in_use(&self) -> Vec<AdapterUse> {
-        let uses = self.adapters.iter().map(|((server, model, adapter), requests)| AdapterUse {
+    /// Returns the copies in use.
+    pub fn copies_in_use(&self) -> Vec<CopyUse> {
+        let uses = self.copies.iter().map(|((server, model, adapter), requests)| CopyUse {
             server: server.clone(),
             model: model.clone(),
             adapter: adapter.clone(),
@@ -105,6 +105,6 @@
         self.prefixes.retain(&keep);
         self.health.retain(&keep);
         self.speeds.retain(&keep);
-        self.adapters.retain(|(server, ..), requests| *requests > 0 || keep(server));
+        self.copies.retain(|(server, ..), requests| *requests > 0 || keep(server));
     }
 }
--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -18,7 +18,7 @@
 use super::metrics::NodeMetrics;
 use super::peers::Peers;
 use super::reader::StoreContact;
-use super::rpc::AdapterUse;
+use super::rpc::CopyUse;
 use super::settings::NodeSettings;
 use super::view::Member;
 
@@ -70,11 +70,11 @@
         self.clock.now()
     }
 
-    /// Returns the adapters at servers of a failure domain that this domain's requests use.
-    pub fn adapters_in_domain(&self, domain: &str) -> Vec<AdapterUse> {
+    /// Returns the copies at servers of a failure domain that this domain's requests use.
+    pub fn copies_in_domain(&self, domain: &str) -> Vec<CopyUse> {
         let view = self.fleet.view();
-        let mut uses = self.boards.lock().adapters_in_use();
-        uses.extend(self.hub.follower_adapters());
+        let mut uses = self.boards.lock().copies_in_use();
+        uses.extend(self.hub.follower_copies());
         uses.retain(|usage| {
             let server = view.servers.get(&usage.server);
             server.is_some_and(|server| &*server.failure_domain == domain)
--- a/savoryport/src/node/desk.rs
+++ b/savoryport/src/node/desk.rs
@@ -1,6 +1,6 @@
 //! The duty of giving orders to the servers of one failure domain.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -10,14 +10,13 @@
 use savoryport_core::node::duty::Duty;
 use savoryport_core::node::orders::EngineLedger;
 use savoryport_core::node::placement::{
-    DemandAverage, LoadAllowance, Move, PlacementInput, PlacementServer, WeightSource, load_time,
-    next_move, weight_source,
+    DemandAverage, LoadAllowance, Missing, Move, PlacementInput, PlacementServer, WeightSource,
+    load_time, next_move, owner, weight_source,
 };
 use savoryport_core::node::registry::BackendServer;
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::context::NodeContext;
 use super::engine::{Command, EngineHandle, counts_as_load};
@@ -124,12 +123,17 @@
     }
 
     /// Notes that requests wait for a model, and tells how long it will take.
-    pub fn want_model(&self, cx: &NodeContext, service: &str, model: &Name) -> WishReply {
+    pub fn want_model(
+        &self,
+        cx: &NodeContext,
+        service: &str,
+        model: &Name,
+        domain: &Name,
+    ) -> WishReply {
         let view = cx.fleet.view();
         let Some(spec) = view.deployment().and_then(|known| known.model(service, model)) else {
             return WishReply::Unavailable;
         };
-        let domain = &cx.settings.failure_domain;
         let desk = self.0.lock().expect("no holder panics").get(domain).cloned();
         let Some(desk) = desk.filter(|desk| desk.may_order(cx).is_some()) else {
             return WishReply::Unavailable;
@@ -211,23 +215,24 @@
                 .collect();
             desk.follow_servers(&cx, &servers);
             if desk.may_order(&cx).is_some() {
-                note_adapter_uses(&cx, &desk);
+                note_copy_uses(&cx, &desk);
                 look(&cx, &desk, &view, &service.name, class, &servers);
             }
         }
     }
 }
 
-fn note_adapter_uses(cx: &NodeContext, desk: &Desk) {
+fn note_copy_uses(cx: &NodeContext, desk: &Desk) {
     let engines = desk.engines.lock().expect("no holder panics");
     for engine in engines.values() {
         engine.ledger().clear_uses();
     }
-    let own = cx.boards.lock().adapters_in_use();
-    for usage in cx.hub.adapters_in_use().into_iter().chain(own) {
+    let own = cx.boards.lock().copies_in_use();
+    for usage in cx.hub.copies_in_use().into_iter().chain(own) {
         if let Some(engine) = engines.get(&usage.server) {
             let mut ledger = engine.ledger();
-            ledger.note_use(&usage.model, &usage.adapter, usage.requests, cx.now());
+            let adapter = usage.adapter.as_deref();
+            ledger.note_use(&usage.model, adapter, usage.requests, cx.now());
         }
     }
 }
@@ -248,15 +253,10 @@
     }
     planner.wishes.retain(|_, at| now.saturating_duration_since(*at) < WISH_LIFETIME);
     let holders = holders_by_model(view, service);
-    let mut owned = owned_models(view, service, class, &desk.domain);
-    planner.missing_since.retain(|model, _| !holders.contains_key(model));
-    owned.retain(|model| {
-        let since = *planner.missing_since.entry(model.clone()).or_insert(now);
-        !holders.contains_key(model) && now.saturating_duration_since(since) >= RESTORE_AFTER
-    });
+    let missing = planner.missing(view, service, class, &desk.domain, &holders, now);
     let demand = planner.demand_with_wishes();
     for _ in 0..MAX_MOVES_PER_LOOK {
-        let chosen = planner.choose(cx, desk, class, servers, &holders, &owned, &demand);
+        let chosen = planner.choose(cx, desk, class, servers, &holders, &missing, &demand);
         let Some(chosen) = chosen else { return };
         planner.note(&chosen, now);
         cx.metrics.loads.inc();
@@ -271,6 +271,31 @@
 }
 
 impl Planner {
+    /// Returns the models that nobody holds and this domain is to bring back.
+    fn missing(
+        &mut self,
+        view: &View,
+        service: &Name,
+        class: &EngineClass,
+        domain: &str,
+        holders: &HashMap<Name, Vec<Name>>,
+        now: Instant,
+    ) -> BTreeMap<Name, Missing> {
+        let domains = engine_domains(view, service);
+        self.missing_since.retain(|model, _| !holders.contains_key(model));
+        let mut missing = BTreeMap::new();
+        for model in class.models.keys().filter(|model| !holders.contains_key(*model)) {
+            let since = *self.missing_since.entry(model.clone()).or_insert(now);
+            let is_owned = owner(model, domains.iter()).is_some_and(|owner| &**owner == domain);
+            if self.wishes.contains_key(model) {
+                missing.insert(model.clone(), Missing::Awaited);
+            } else if is_owned && now.saturating_duration_since(since) >= RESTORE_AFTER {
+                missing.insert(model.clone(), Missing::Unasked);
+            }
+        }
+        missing
+    }
+
     fn demand_with_wishes(&self) -> HashMap<Name, f64> {
         /// The demand that a wish stands for, enough for a first copy.
         const WISH_DEMAND: f64 = 0.1;
@@ -290,7 +315,7 @@
         class: &EngineClass,
         servers: &[Arc<BackendServer>],
         holders: &HashMap<Name, Vec<Name>>,
-        owned: &BTreeSet<Name>,
+        missing: &BTreeMap<Name, Missing>,
         demand: &HashMap<Name, f64>,
     ) -> Option<Move> {
         let now = cx.now();
@@ -319,12 +344,14 @@
                         models.push(moving.load.clone());
                     }
                 }
+                let in_use = ledger.requests_by_model();
                 let is_open = moving.is_none()
                     && ledger.expected_orders().is_some()
                     && !ledger.is_busy(now);
                 Some(PlacementServer {
                     server,
                     models,
+                    in_use,
                     free_mb: ledger.free_mb(class),
                     is_open,
                     loaded_at: self.loaded_at.get(&server.id).unwrap_or(&no_loads),
@@ -335,7 +362,7 @@
             class,
             servers: &options,
             holders,
-            owned,
+            missing,
             demand,
             may_use_store,
             now,
@@ -364,20 +391,11 @@
     holders
 }
 
-/// Returns the models that this failure domain brings back when nobody holds them. Each model belongs
-/// to one of the domains that have servers.
-fn owned_models(view: &View, service: &str, class: &EngineClass, domain: &str) -> BTreeSet<Name> {
+/// Returns the failure domains that have ready servers of a service.
+pub fn engine_domains(view: &View, service: &str) -> BTreeSet<Name> {
     let servers = view.servers.values().filter(|server| &*server.service == service);
-    let domains: BTreeSet<&Name> = servers
-        .filter(|server| server.is_ready())
-        .map(|server| &server.failure_domain)
-        .collect();
-    let owner = |model: &Name| {
-        let seed = xxh3_64_with_seed(model.as_bytes(), 0);
-        domains.iter().min_by_key(|domain| xxh3_64_with_seed(domain.as_bytes(), seed)).copied()
-    };
-    let owned = class.models.keys().filter(|model| owner(model).is_some_and(|own| &**own == domain));
-    owned.cloned().collect()
+    let ready = servers.filter(|server| server.is_ready());
+    ready.map(|server| server.failure_domain.clone()).collect()
 }
 
 /// Returns what a desk knows of its engines, for the status page.
--- a/savoryport/src/node/dispatch.rs
+++ b/savoryport/src/node/dispatch.rs
@@ -5,11 +5,13 @@
 
 use savoryport_core::Name;
 use savoryport_core::node::admission::{Prospect, Verdict, judge, retry_after};
+use savoryport_core::node::placement::owner;
 use savoryport_core::node::registry::BackendServer;
 use savoryport_core::node::request::Generation;
 use savoryport_core::node::selection::{Candidate, Demanded, Distance, choose};
 
 use super::answer::{Cause, Refusal};
+use super::desk::engine_domains;
 use super::relay::Relay;
 use super::rpc::WishReply;
 use super::view::View;
@@ -250,9 +252,10 @@
     /// Tells the order giver that a model is missing; returns when it will be there.
     async fn wish_for_model(&self, model: &Name) -> Option<Duration> {
         let cx = &self.cx;
-        let domain = &cx.settings.failure_domain;
+        let domains = engine_domains(&cx.fleet.view(), &self.service);
+        let domain = owner(model, domains.iter()).unwrap_or(&cx.settings.failure_domain);
         let reply = if cx.desks.holds(domain) {
-            cx.desks.want_model(cx, &self.service, model)
+            cx.desks.want_model(cx, &self.service, model, domain)
         } else {
             let holder = cx.fleet.read(|state| state.holder(domain).cloned())?;
             let wish = async {
--- a/savoryport/src/node/engine.rs
+++ b/savoryport/src/node/engine.rs
@@ -37,6 +37,12 @@
 /// Followers have heard of a withdrawn model after this time, so that its unload meets no request.
 const WITHDRAWAL_NOTICE: Duration = Duration::from_millis(300);
 
+/// Requests at a withdrawn model are waited for this long.
+const MAX_DRAIN: Duration = Duration::from_secs(5);
+
+/// The pause between two looks at the requests of a withdrawn model.
+const DRAIN_PAUSE: Duration = Duration::from_millis(50);
+
 /// An unload that meets no requests is done after this time; a load before that is refused.
 const UNLOAD_PAUSE: Duration = Duration::from_millis(40);
 
@@ -83,6 +89,7 @@
             server: server.clone(),
             ledger: handle.ledger.clone(),
             moving: handle.moving.clone(),
+            draining: None,
             loading: None,
             withdrawn: Vec::new(),
             arriving: HashMap::new(),
@@ -112,6 +119,13 @@
     }
 }
 
+/// A move whose displaced models still serve requests.
+#[derive(Debug)]
+struct Draining {
+    wanted: Move,
+    since: Instant,
+}
+
 /// A load that the server accepted.
 #[derive(Debug)]
 struct Loading {
@@ -126,6 +140,7 @@
     server: Name,
     ledger: Arc<Mutex<EngineLedger>>,
     moving: Arc<Mutex<Option<Move>>>,
+    draining: Option<Draining>,
     loading: Option<Loading>,
     /// Models that are about to be dropped.
     withdrawn: Vec<Name>,
@@ -137,10 +152,7 @@
     async fn run(mut self, mut rx: mpsc::UnboundedReceiver<Command>) {
         self.learn_contents().await;
         loop {
-            let next_look = self.loading.as_ref().map(|loading| {
-                let left = loading.expected.saturating_sub(self.cx.now() - loading.since);
-                left.max(REPORT_PAUSE)
-            });
+            let next_look = self.next_look();
             let look = async {
                 match next_look {
                     Some(wait) => tokio::time::sleep(wait).await,
@@ -152,10 +164,10 @@
                     Some(Command::Adapter { model, adapter, reply }) => {
                         self.bring_adapter(&model, &adapter, reply).await;
                     }
-                    Some(Command::Move(wanted)) => self.carry_out(wanted).await,
+                    Some(Command::Move(wanted)) => self.withdraw(wanted),
                     None => return,
                 },
-                () = look => self.look_at_load().await,
+                () = look => self.look().await,
             }
         }
     }
@@ -164,6 +176,39 @@
         self.ledger.lock().expect("no holder panics")
     }
 
+    /// Returns when a move under way is to be looked at again.
+    fn next_look(&self) -> Option<Duration> {
+        if self.draining.is_some() {
+            return Some(DRAIN_PAUSE);
+        }
+        let loading = self.loading.as_ref()?;
+        let left = loading.expected.saturating_sub(self.cx.now() - loading.since);
+        Some(left.max(REPORT_PAUSE))
+    }
+
+    async fn look(&mut self) {
+        match self.draining.take() {
+            Some(draining) if self.is_drained(&draining) => self.carry_out(draining.wanted).await,
+            Some(draining) => self.draining = Some(draining),
+            None => self.look_at_load().await,
+        }
+    }
+
+    /// Tells that models are about to be dropped; their requests end meanwhile. An unload that meets
+    /// requests would keep the server from all other orders until they end.
+    fn withdraw(&mut self, wanted: Move) {
+        self.withdrawn.extend(wanted.unload.iter().cloned());
+        self.draining = Some(Draining { wanted, since: self.cx.now() });
+        self.publish();
+    }
+
+    fn is_drained(&self, draining: &Draining) -> bool {
+        let unload = &draining.wanted.unload;
+        let elapsed = self.cx.now() - draining.since;
+        let is_idle = || unload.iter().all(|model| self.ledger().requests(model) == 0);
+        unload.is_empty() || elapsed >= MAX_DRAIN || (elapsed >= WITHDRAWAL_NOTICE && is_idle())
+    }
+
     fn end_move(&self) {
         *self.moving.lock().expect("no holder panics") = None;
     }
@@ -289,11 +334,6 @@
     }
 
     async fn carry_out(&mut self, wanted: Move) {
-        self.withdrawn.extend(wanted.unload.iter().cloned());
-        if !wanted.unload.is_empty() {
-            self.publish();
-            tokio::time::sleep(WITHDRAWAL_NOTICE).await;
-        }
         if let Err(problem) = self.try_move(&wanted).await {
             log::info!(
                 server = &*self.server, model = &*wanted.load, problem:% = problem; "move given up"
@@ -395,7 +435,7 @@
                 held.adapters.push(adapter.clone());
             }
         }
-        let is_busy = self.loading.is_some() || !self.withdrawn.is_empty();
+        let is_busy = self.loading.is_some();
         let residency = Residency { incarnation: ledger.incarnation(), models, is_busy };
         drop(ledger);
         self.cx.fleet.update(|state| state.set_residency(&self.server, residency));
--- a/savoryport/src/node/flight.rs
+++ b/savoryport/src/node/flight.rs
@@ -5,7 +5,7 @@
 
 use savoryport_core::Name;
 
-use super::boards::AdapterKey;
+use super::boards::CopyKey;
 use super::context::NodeContext;
 use super::dispatch::Picked;
 use super::relay::Relay;
@@ -20,7 +20,7 @@
     /// The time that was expected until the first token.
     expected: Duration,
     model: Option<Name>,
-    adapter: Option<AdapterKey>,
+    copy: Option<CopyKey>,
     sent_at: Instant,
     has_first_token: bool,
 }
@@ -32,16 +32,14 @@
         let now = cx.now();
         let server = &picked.server;
         let asked = relay.head.generation.as_ref();
-        let adapter = asked.and_then(|asked| {
-            let adapter = asked.adapter.clone()?;
-            Some((server.id.clone(), asked.model.clone(), adapter))
-        });
+        let copy = asked
+            .map(|asked| (server.id.clone(), asked.model.clone(), asked.adapter.clone()));
         let class = relay.deployment.services.get(&relay.service);
         let cache_tokens = class.and_then(|service| Some(service.engine.as_ref()?.cache_tokens));
         let mut boards = cx.boards.lock();
         boards.loads.begin(&server.id, relay.route.rank, picked.prefill_ms);
-        if let Some(key) = &adapter {
-            *boards.adapters.entry(key.clone()).or_default() += 1;
+        if let Some(key) = &copy {
+            *boards.copies.entry(key.clone()).or_default() += 1;
         }
         if let Some(cache_tokens) = cache_tokens.filter(|_| !relay.keys.is_empty()) {
             let record = PromptRecord {
@@ -58,7 +56,7 @@
             prefill_ms: picked.prefill_ms,
             expected: picked.expected,
             model: asked.map(|asked| asked.model.clone()),
-            adapter,
+            copy,
             sent_at: now,
             has_first_token: false,
             cx,
@@ -92,12 +90,12 @@
             boards.loads.first_token(&self.server, self.rank, self.prefill_ms);
         }
         boards.loads.end(&self.server);
-        if let Some(key) = &self.adapter
-            && let Some(requests) = boards.adapters.get_mut(key)
+        if let Some(key) = &self.copy
+            && let Some(requests) = boards.copies.get_mut(key)
         {
             *requests -= 1;
             if *requests == 0 {
-                boards.adapters.remove(key);
+                boards.copies.remove(key);
             }
         }
     }
--- a/savoryport/src/node/hub.rs
+++ b/savoryport/src/node/hub.rs
@@ -14,7 +14,7 @@
 use super::NodeError;
 use super::context::NodeContext;
 use super::rpc::{
-    AdapterUse, MAX_MESSAGE_BYTES, Peer, Position, PromptRecord, Role, SyncReply, SyncRequest,
+    CopyUse, MAX_MESSAGE_BYTES, Peer, Position, PromptRecord, Role, SyncReply, SyncRequest,
     WishReply,
 };
 
@@ -43,13 +43,13 @@
 #[derive(Debug)]
 struct Told {
     loads: Loads,
-    adapters: Vec<AdapterUse>,
+    copies: Vec<CopyUse>,
     at: Instant,
 }
 
 impl Told {
     fn new(at: Instant) -> Self {
-        Self { loads: Loads::new(), adapters: Vec::new(), at }
+        Self { loads: Loads::new(), copies: Vec::new(), at }
     }
 }
 
@@ -66,7 +66,7 @@
             state.followers.remove(vm);
         } else {
             let loads = req.loads.iter().cloned().collect();
-            let told = Told { loads, adapters: req.adapters.clone(), at: now };
+            let told = Told { loads, copies: req.copies.clone(), at: now };
             state.followers.insert(vm.clone(), told);
         }
         state.add_work(&req.work_ms);
@@ -81,11 +81,11 @@
         told.at = now;
     }
 
-    /// Takes the adapters of this domain's servers that another failure domain uses.
-    fn note_domain_adapters(&self, domain: &Name, adapters: Vec<AdapterUse>, now: Instant) {
+    /// Takes the copies at this domain's servers that another failure domain uses.
+    fn note_domain_copies(&self, domain: &Name, copies: Vec<CopyUse>, now: Instant) {
         let mut state = self.lock();
         let told = state.domains.entry(domain.clone()).or_insert_with(|| Told::new(now));
-        told.adapters = adapters;
+        told.copies = copies;
     }
 
     /// Takes this node's own work and prompts.
@@ -100,17 +100,17 @@
         std::mem::take(&mut self.lock().work_ms)
     }
 
-    /// Returns the adapters that followers use.
-    pub fn follower_adapters(&self) -> Vec<AdapterUse> {
+    /// Returns the copies that followers use.
+    pub fn follower_copies(&self) -> Vec<CopyUse> {
         let state = self.lock();
-        state.followers.values().flat_map(|told| told.adapters.iter().cloned()).collect()
+        state.followers.values().flat_map(|told| told.copies.iter().cloned()).collect()
     }
 
-    /// Returns the adapters that followers and other failure domains use.
-    pub fn adapters_in_use(&self) -> Vec<AdapterUse> {
+    /// Returns the copies that followers and other failure domains use.
+    pub fn copies_in_use(&self) -> Vec<CopyUse> {
         let state = self.lock();
         let told = state.followers.values().chain(state.domains.values());
-        told.flat_map(|told| told.adapters.iter().cloned()).collect()
+        told.flat_map(|told| told.copies.iter().cloned()).collect()
     }
 
     /// Returns what followers and other failure domains have under way, without one follower.
@@ -186,7 +186,7 @@
                 let loads = req.loads.clone();
                 let asking = &req.member.failure_domain;
                 cx.hub.note_domain(asking, loads, now);
-                cx.hub.note_domain_adapters(asking, req.adapters.clone(), now);
+                cx.hub.note_domain_copies(asking, req.copies.clone(), now);
                 cx.hub.loads_but(None, false, now)
             }
         };
@@ -229,7 +229,8 @@
     }
 
     async fn want_model(self, _: Context, service: Name, model: Name) -> WishReply {
-        self.cx.desks.want_model(&self.cx, &service, &model)
+        let domain = &self.cx.settings.failure_domain;
+        self.cx.desks.want_model(&self.cx, &service, &model, domain)
     }
 }
 
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -55,15 +55,15 @@
     pub keys: PrefixKeys,
 }
 
-/// An adapter that requests of one node use.
+/// A copy of a model, or of one of its adapters, that requests of one node use.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AdapterUse {
+pub struct CopyUse {
     /// The server.
     pub server: Name,
     /// The model.
     pub model: Name,
-    /// The adapter.
-    pub adapter: Name,
+    /// The adapter, where the requests name one.
+    pub adapter: Option<Name>,
     /// Requests under way.
     pub requests: u32,
 }
@@ -83,8 +83,8 @@
     pub loads: Vec<(Name, ServerLoad)>,
     /// Milliseconds of work by model that arrived since the last call.
     pub work_ms: Vec<(Name, f64)>,
-    /// Adapters in use.
-    pub adapters: Vec<AdapterUse>,
+    /// Copies in use.
+    pub copies: Vec<CopyUse>,
     /// Prompts sent since the last call.
     pub prompts: Vec<PromptRecord>,
     /// The configuration, where the answering node was behind at the last call.
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -110,7 +110,7 @@
         have: Position { config: cx.fleet.view().version(), ..following.have },
         loads: boards.loads.own().iter().map(|(server, load)| (server.clone(), *load)).collect(),
         work_ms: boards.work_ms.drain().collect(),
-        adapters: boards.adapters_in_use(),
+        copies: boards.copies_in_use(),
         prompts: std::mem::take(&mut boards.prompts),
         config: config.map(|config| config.raw.to_vec()),
     }
@@ -209,7 +209,7 @@
         have: Position { config: cx.fleet.view().version(), ..have },
         loads: loads.into_iter().collect(),
         work_ms: Vec::new(),
-        adapters: cx.adapters_in_domain(domain),
+        copies: cx.copies_in_domain(domain),
         prompts: Vec::new(),
         config: None,
     };
--- a/savoryport_core/src/node/orders.rs
+++ b/savoryport_core/src/node/orders.rs
@@ -120,6 +120,8 @@
     floor: u64,
     busy_until: Option<Instant>,
     models: BTreeMap<Name, BTreeMap<Name, AdapterUse>>,
+    /// Requests under way by model.
+    requests: BTreeMap<Name, u32>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -209,21 +211,34 @@
         class.memory_mb - used
     }
 
-    /// Forgets how many requests use each adapter, before the present uses are noted.
+    /// Forgets how many requests use each copy, before the present uses are noted.
     pub fn clear_uses(&mut self) {
+        self.requests.clear();
         for usage in self.models.values_mut().flat_map(BTreeMap::values_mut) {
             usage.requests = 0;
         }
     }
 
-    /// Notes that an adapter is used by so many requests.
-    pub fn note_use(&mut self, model: &str, adapter: &str, requests: u32, now: Instant) {
+    /// Notes that a model, or an adapter of it, is used by so many more requests.
+    pub fn note_use(&mut self, model: &Name, adapter: Option<&str>, requests: u32, now: Instant) {
+        *self.requests.entry(model.clone()).or_default() += requests;
         let adapters = self.models.get_mut(model);
-        if let Some(usage) = adapters.and_then(|adapters| adapters.get_mut(adapter)) {
-            *usage = AdapterUse { requests, last_used: now };
+        let usage = adapter.and_then(|adapter| adapters?.get_mut(adapter));
+        if let Some(usage) = usage {
+            *usage = AdapterUse { requests: usage.requests + requests, last_used: now };
         }
     }
 
+    /// Returns how many requests use a model, as far as nodes have told.
+    pub fn requests(&self, model: &str) -> u32 {
+        self.requests.get(model).copied().unwrap_or(0)
+    }
+
+    /// Returns the requests under way by model.
+    pub fn requests_by_model(&self) -> BTreeMap<Name, u32> {
+        self.requests.clone()
+    }
+
     /// Checks an order against the server's memory and places.
     ///
     /// # Errors
@@ -280,7 +295,7 @@
                 self.count_order();
                 if let Order::UnloadAdapter { model, adapter } = order {
                     // Requests still use it, so it keeps its place until they end.
-                    self.note_use(model, adapter, 1, now);
+                    self.note_use(model, Some(adapter), 1, now);
                     return;
                 }
                 self.take_effect(order, now);
--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -4,7 +4,7 @@
 //! few loads a second. Copies follow the work that callers of the domain ask for; the last copy of a
 //! model is never dropped, so that every model stays reachable.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use smallvec::SmallVec;
@@ -73,6 +73,8 @@
     pub server: &'a BackendServer,
     /// The models that it holds or is loading, by the ledger.
     pub models: SmallVec<[Name; 4]>,
+    /// Requests under way by model.
+    pub in_use: BTreeMap<Name, u32>,
     /// Free accelerator memory in MB.
     pub free_mb: f64,
     /// Whether an order may be given now.
@@ -81,6 +83,15 @@
     pub loaded_at: &'a HashMap<Name, Instant>,
 }
 
+/// How urgently a model that nobody holds is needed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Missing {
+    /// Requests wait for it.
+    Awaited,
+    /// Nobody asks for it.
+    Unasked,
+}
+
 /// What a domain's next load is decided from.
 #[derive(Debug)]
 pub struct PlacementInput<'a> {
@@ -90,8 +101,8 @@
     pub servers: &'a [PlacementServer<'a>],
     /// Ready servers of every domain that hold a model.
     pub holders: &'a HashMap<Name, Vec<Name>>,
-    /// Models that this domain is to bring back when nobody holds them.
-    pub owned: &'a BTreeSet<Name>,
+    /// Models that nobody holds and this domain is to bring back.
+    pub missing: &'a BTreeMap<Name, Missing>,
     /// Work by model in servers' worth that callers of this domain ask for.
     pub demand: &'a HashMap<Name, f64>,
     /// Whether the weight store may be asked now.
@@ -153,11 +164,12 @@
     let demand = input.demand.get(model).copied().unwrap_or(0.0);
     let here = copies.get(model).copied().unwrap_or(0);
     let anywhere = here > 0 || input.holders.get(model).is_some_and(|held| !held.is_empty());
-    if !anywhere && demand > 0.0 {
-        return AWAITED_VALUE + demand;
-    }
-    if !anywhere && input.owned.contains(model) {
-        return MISSING_VALUE;
+    if !anywhere {
+        return match input.missing.get(model) {
+            Some(Missing::Awaited) => AWAITED_VALUE + demand,
+            Some(Missing::Unasked) => MISSING_VALUE,
+            None => 0.0,
+        };
     }
     let share = demand / here.max(1) as f64;
     match here {
@@ -198,6 +210,9 @@
     best.map(|(_, chosen)| chosen)
 }
 
+/// What each request under way at a copy that makes way costs, in servers' worth.
+const DRAIN_COST: f64 = 0.01;
+
 /// What a second of loading costs in servers' worth when servers are compared.
 const LOAD_SECOND_COST: f64 = 0.05;
 
@@ -227,7 +242,7 @@
         .models
         .iter()
         .filter(|model| may_drop(input, server, model))
-        .map(|model| (model, copy_worth(input, copies, model)))
+        .map(|model| (model, copy_worth(input, copies, model) + drain_cost(server, model)))
         .collect();
     droppable.sort_by(|a, b| a.1.total_cmp(&b.1));
     let (mut dropped, mut lost) = (SmallVec::new(), 0.0);
@@ -242,6 +257,11 @@
     (free >= spec.memory_mb).then_some((dropped, lost))
 }
 
+/// Returns what it costs that a model's requests have to end before it can be dropped.
+fn drain_cost(server: &PlacementServer<'_>, model: &Name) -> f64 {
+    f64::from(server.in_use.get(model).copied().unwrap_or(0)) * DRAIN_COST
+}
+
 fn may_drop(input: &PlacementInput<'_>, server: &PlacementServer<'_>, model: &Name) -> bool {
     let id = &server.server.id;
     let holders = input.holders.get(model).map(Vec::as_slice).unwrap_or_default();
@@ -253,6 +273,13 @@
     elsewhere && anchor(model, holders) != Some(id) && is_old
 }
 
+/// Returns the domain that brings a model back when nobody holds it, among the domains with servers.
+/// Every node finds the same one, so that a model is not loaded in each domain at once.
+pub fn owner<'a>(model: &str, domains: impl Iterator<Item = &'a Name>) -> Option<&'a Name> {
+    let seed = xxh3_64_with_seed(model.as_bytes(), 0);
+    domains.min_by_key(|domain| xxh3_64_with_seed(domain.as_bytes(), seed))
+}
+
 /// A domain's part of the weight store's rate.
 ///
 /// The bound counts the loads that begin within a window over all servers. Each domain takes an equal
