Leave a stream alone while its server sends to others

A stream now goes on elsewhere only if an attempt is left and its server is silent to all requests of this node.

--- a/savoryport/src/node/flight.rs
+++ b/savoryport/src/node/flight.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Returns the server's id.
+    pub fn server(&self) -> &str {
+        &self.server
+    }
+
     /// Returns when the request left.
     pub fn sent_at(&self) -> Instant {
         self.sent_at
--- a/savoryport/src/node/relay.rs
+++ b/savoryport/src/node/relay.rs
@@ -505,6 +505,13 @@
         Attempt::Answer(pass_on(status, headers, body))
     }
 
+    /// Notes that the last server sent something.
+    pub(super) fn note_heard(&self) {
+        if let Some(server) = &self.last_server {
+            self.cx.boards.lock().health.heard(server, self.cx.now());
+        }
+    }
+
     pub(super) fn note(&self, server: &Name, outcome: ServerOutcome) {
         let now = self.cx.now();
         self.cx.boards.lock().health.note(server, outcome, now);
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -20,8 +20,8 @@
 /// Pieces that wait for a caller who reads slowly.
 const CALLER_BUFFER: usize = 16;
 
-/// A stream that can go on elsewhere is taken for broken after this time without a byte. Callers
-/// leave after two seconds at the earliest.
+/// A stream that can go on elsewhere does so after this time without a byte, if its server sends nothing
+/// to anybody. Callers leave after two seconds at the earliest.
 const MAX_GAP: Duration = Duration::from_millis(1_200);
 
 /// How reading a server's stream ended.
@@ -108,12 +108,11 @@
 
     /// Opens the stream at another server, if the request allows that.
     async fn resume(&mut self) -> Option<(Opened, Picked)> {
-        if !self.is_resumable {
+        if !self.may_resume() {
             return None;
         }
         self.cutter = EventCutter::default();
-        let most = self.relay.route.max_attempts;
-        while (self.relay.tried.len() as u32) < most && !self.relay.left().is_zero() {
+        while self.may_resume() && !self.relay.left().is_zero() {
             let picked = tokio::select! {
                 picked = self.relay.pick() => picked.ok()?,
                 () = self.pieces.closed() => return None,
@@ -145,11 +144,14 @@
         }
         loop {
             let left = self.relay.left();
-            let gap = if self.is_resumable { MAX_GAP.min(left) } else { left };
+            let gap = if self.may_resume() { MAX_GAP.min(left) } else { left };
             let frame = tokio::select! {
                 frame = tokio::time::timeout(gap, opened.body.frame()) => frame,
                 () = self.pieces.closed() => return End::CallerLeft,
             };
+            if frame.is_err() && !self.relay.left().is_zero() && !self.is_silent(opened) {
+                continue;
+            }
             let data = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(Some(Err(_))) => return End::Broken,
@@ -158,12 +160,25 @@
                 Err(_) => return End::Broken,
             };
             self.note_first_token(opened);
+            self.relay.note_heard();
             if let Some(end) = self.take(data).await {
                 return end;
             }
         }
     }
 
+    fn may_resume(&self) -> bool {
+        let relay = &self.relay;
+        self.is_resumable && (relay.tried.len() as u32) < relay.route.max_attempts
+    }
+
+    /// Returns whether the stream can go on elsewhere and its server is silent to all its requests.
+    fn is_silent(&self, opened: &Opened) -> bool {
+        let cx = &self.relay.cx;
+        let since = cx.now() - MAX_GAP;
+        self.may_resume() && !cx.boards.lock().health.was_heard_since(opened.flight.server(), since)
+    }
+
     fn note_first_token(&mut self, opened: &mut Opened) {
         opened.flight.first_token();
         let relay = &mut self.relay;
