Relay the configuration compressed and apart from other news

The configuration has a call of its own now, one at a time, deflated; VMs with less processor try later for a duty.

--- a/savoryport/src/node/duty.rs
+++ b/savoryport/src/node/duty.rs
@@ -19,6 +19,13 @@
 /// Nodes that could take a duty try at a random time within this span.
 const TRY_SPREAD: Duration = Duration::from_millis(150);
 
+/// How much later a VM with a whole core tries; one with a part of a core waits in proportion, so that
+/// the strongest VM gets the duty.
+const HANDICAP: Duration = Duration::from_millis(40);
+
+/// The share of a core below which VMs wait no longer.
+const MIN_CPU_SHARE: f64 = 0.1;
+
 /// A failure domain whose own nodes do not take their duty for this long is taken care of by the
 /// holder of another one.
 const ADOPT_AFTER: Duration = Duration::from_secs(6);
@@ -43,7 +50,8 @@
             continue;
         }
         for domain in vacancies.open(&cx) {
-            tokio::time::sleep(TRY_SPREAD.mul_f64(cx.draw())).await;
+            let handicap = HANDICAP.div_f64(cx.settings.cpu_share.max(MIN_CPU_SHARE));
+            tokio::time::sleep(handicap + TRY_SPREAD.mul_f64(cx.draw())).await;
             if cx.fleet.read(|state| state.holder(&domain).is_some()) {
                 continue;
             }
--- a/savoryport/src/node/fleet.rs
+++ b/savoryport/src/node/fleet.rs
@@ -123,6 +123,11 @@
         is_newer
     }
 
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<&AcceptedConfig> {
+        self.config.as_ref()
+    }
+
     /// Returns the version in force, 0 if none is known.
     pub fn version(&self) -> u64 {
         self.config.as_ref().map_or(0, |config| config.deployment.version)
@@ -263,9 +268,6 @@
                 self.holders.iter().map(|(domain, holder)| (domain.clone(), holder.clone()));
             reply.members = Some((members, holders.collect()));
         }
-        if have.config < self.version() {
-            reply.config = self.config.as_ref().map(|config| config.raw.to_vec());
-        }
         reply.position = Position {
             tenure,
             servers: self.servers_revision,
--- a/savoryport/src/node/hub.rs
+++ b/savoryport/src/node/hub.rs
@@ -199,7 +199,6 @@
             position: Position::default(),
             is_holder: cx.desks.holds(&cx.settings.failure_domain) && cx.store_contact.is_good(now),
             is_full: false,
-            config: None,
             servers: Vec::new(),
             removed: Vec::new(),
             members: None,
@@ -215,15 +214,18 @@
                 }
                 state.expire_members(now);
             }
-            if let Some(raw) = &req.config {
-                super::reader::accept_config(state, raw, "node");
-            }
         });
         cx.fleet.read(|state| state.fill(req.have, cx.tenure, domain, &mut reply));
         reply.position.prompts = prompt_count;
         reply
     }
 
+    async fn config(self, _: Context, have: u64) -> Option<Vec<u8>> {
+        let view = self.cx.fleet.view();
+        let config = view.config.as_ref().filter(|config| config.deployment.version > have)?;
+        Some(config.packed().to_vec())
+    }
+
     async fn want_adapter(self, _: Context, server: Name, model: Name, adapter: Name) -> WishReply {
         self.cx.desks.want_adapter(&self.cx, &server, &model, &adapter).await
     }
--- a/savoryport/src/node/reader.rs
+++ b/savoryport/src/node/reader.rs
@@ -208,9 +208,15 @@
     match deployment(raw) {
         Ok(decoded) => {
             let (version, routes) = (decoded.version, decoded.route_count());
-            let config = AcceptedConfig { deployment: Arc::new(decoded), raw: raw.into() };
-            if state.accept_config(config) {
-                log::info!(version = version, routes = routes, source = source; "config in force");
+            if version <= state.version() {
+                return;
+            }
+            match AcceptedConfig::pack(decoded, raw) {
+                Ok(config) => {
+                    state.accept_config(config);
+                    log::info!(version = version, routes = routes, source = source; "config in force");
+                }
+                Err(err) => log::error!(err:% = err; "config not packed"),
             }
         }
         Err(err) => log::error!(err:% = err, source = source; "unreadable config"),
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -87,8 +87,6 @@
     pub copies: Vec<CopyUse>,
     /// Prompts sent since the last call.
     pub prompts: Vec<PromptRecord>,
-    /// The configuration, where the answering node was behind at the last call.
-    pub config: Option<Vec<u8>>,
 }
 
 /// What the asking node lacks.
@@ -100,8 +98,6 @@
     pub is_holder: bool,
     /// Whether the servers are all there are, not changes.
     pub is_full: bool,
-    /// The configuration, if newer.
-    pub config: Option<Vec<u8>>,
     /// Servers that changed.
     pub servers: Vec<BackendServer>,
     /// Servers that are gone.
@@ -130,6 +126,8 @@
 pub trait Peer {
     /// Tells what the asking node has under way, and returns what it lacks.
     async fn sync(req: SyncRequest) -> SyncReply;
+    /// Returns the configuration in force, compressed, if it is newer than this version.
+    async fn config(have: u64) -> Option<Vec<u8>>;
     /// Asks for an adapter at a server; the answer comes when it can be used.
     async fn want_adapter(server: Name, model: Name, adapter: Name) -> WishReply;
     /// Asks for a model that no server holds.
@@ -185,6 +183,15 @@
         self.client.sync(deadline(within), req).await.map_err(|err| self.failed(&err))
     }
 
+    /// Calls [`Peer::config`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no answer came in time.
+    pub async fn config(&self, have: u64, within: Duration) -> Result<Option<Vec<u8>>, PeerError> {
+        self.client.config(deadline(within), have).await.map_err(|err| self.failed(&err))
+    }
+
     /// Calls [`Peer::want_adapter`].
     ///
     /// # Errors
--- a/savoryport/src/node/settings.rs
+++ b/savoryport/src/node/settings.rs
@@ -39,6 +39,8 @@
     pub store: Name,
     /// Whether the whole system starts for the first time. Default false.
     pub first_start: bool,
+    /// The share of a core that the process may use. Default 1.
+    pub cpu_share: f64,
     /// Memory that the process may use, in MB. Default 256.
     pub memory_mb: u64,
     /// Descriptors that the process may use. Default 4,096.
@@ -96,6 +98,7 @@
             metrics_port: 9464,
             store: "127.0.0.1:7104".into(),
             first_start: false,
+            cpu_share: 1.0,
             memory_mb: 256,
             file_descriptors: 4_096,
             order_turn_ms: 3_000,
@@ -209,6 +212,7 @@
         check("sync_period_ms", (5..=1_000).contains(&self.sync_period_ms), "5 to 1,000");
         check("exchange_period_ms", self.exchange_period_ms >= 20, "20 or more");
         check("placement_period_ms", self.placement_period_ms >= 10, "10 or more");
+        check("cpu_share", self.cpu_share > 0.0, "more than 0");
         check("stop_within_s", self.stop_within_s > 0.5, "more than 0.5");
         check("load_window_s", self.load_window_s > 0.0, "more than 0");
         check("retry_ratio", self.retry_ratio >= 0.0, "0 or more");
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -1,7 +1,9 @@
 //! Keeps this node in step with the duty holder of its failure domain, or holders with each other.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use savoryport_core::Name;
@@ -12,7 +14,7 @@
 use super::hub::{add_loads, note_prompts};
 use super::reader::accept_config;
 use super::rpc::{PeerError, Position, Role, SyncReply, SyncRequest};
-use super::view::DutyHolder;
+use super::view::{AcceptedConfig, DutyHolder};
 
 /// The time for one call of another node of the failure domain.
 const FOLLOW_TIMEOUT: Duration = Duration::from_millis(300);
@@ -20,6 +22,9 @@
 /// The time for one call across regions.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The time to fetch a configuration.
+const CONFIG_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// Calls in a row without an answer after which a holder counts as lost.
 const LOST_AFTER: u32 = 2;
 
@@ -29,8 +34,8 @@
     holder: Option<DutyHolder>,
     have: Position,
     failures: u32,
-    /// The version that the holder was last seen to have.
-    holder_config: u64,
+    /// Whether a newer configuration is being fetched.
+    fetching: Arc<AtomicBool>,
 }
 
 /// Follows the holder of this node's failure domain; `read_store` tells the reader whether this node
@@ -48,7 +53,7 @@
 }
 
 /// Makes one step; returns whether this node has to read the store itself.
-async fn step(cx: &NodeContext, following: &mut Following, takes_servers: bool) -> bool {
+async fn step(cx: &Arc<NodeContext>, following: &mut Following, takes_servers: bool) -> bool {
     let domain = &cx.settings.failure_domain;
     let own = &cx.settings.vm;
     // A holder reads for the others; so does one that still holds a foreign domain's duty.
@@ -71,6 +76,7 @@
                 log::info!(holder = &*holder.vm; "holder regained");
             }
             following.failures = 0;
+            fetch_config(cx, &holder, &following.fetching, reply.position.config);
             apply(cx, following, reply, takes_servers)
         }
         Err(err) => {
@@ -100,8 +106,6 @@
 }
 
 fn request(cx: &NodeContext, following: &Following) -> SyncRequest {
-    let is_behind = following.holder_config > 0 && following.holder_config < cx.fleet.view().version();
-    let config = is_behind.then(|| cx.fleet.view().config.clone()).flatten();
     let mut boards = cx.boards.lock();
     SyncRequest {
         member: cx.member.clone(),
@@ -112,7 +116,6 @@
         work_ms: boards.work_ms.drain().collect(),
         copies: boards.copies_in_use(),
         prompts: std::mem::take(&mut boards.prompts),
-        config: config.map(|config| config.raw.to_vec()),
     }
 }
 
@@ -138,11 +141,7 @@
                 }
             }
         }
-        if let Some(raw) = &reply.config {
-            accept_config(state, raw, "node");
-        }
     });
-    following.holder_config = reply.position.config;
     following.have = reply.position;
     let nodes = cx.fleet.view().members.len();
     cx.boards.lock().budget.set_nodes(nodes);
@@ -193,8 +192,38 @@
     }
 }
 
+/// Fetches a newer configuration from another node in a task of its own: with many routes it takes
+/// longer than news may wait.
+fn fetch_config(
+    cx: &Arc<NodeContext>,
+    holder: &DutyHolder,
+    fetching: &Arc<AtomicBool>,
+    offered: u64,
+) {
+    if offered <= cx.fleet.view().version() || fetching.swap(true, Ordering::Relaxed) {
+        return;
+    }
+    let (cx, address, fetching) = (cx.clone(), holder.peers, fetching.clone());
+    tokio::spawn(async move {
+        if let Err(err) = try_fetch_config(&cx, address).await {
+            log::warn!(err:% = err; "config not fetched");
+        }
+        fetching.store(false, Ordering::Relaxed);
+    });
+}
+
+async fn try_fetch_config(cx: &NodeContext, address: SocketAddr) -> Result<(), PeerError> {
+    let failed = |problem: String| PeerError { address, problem };
+    let connection = cx.peers.get(address).await?;
+    let have = cx.fleet.view().version();
+    let Some(packed) = connection.config(have, CONFIG_TIMEOUT).await? else { return Ok(()) };
+    let raw = AcceptedConfig::unpack(&packed).map_err(|err| failed(err.to_string()))?;
+    cx.fleet.update(|state| accept_config(state, &raw, "node"));
+    Ok(())
+}
+
 async fn exchange_with(
-    cx: &NodeContext,
+    cx: &Arc<NodeContext>,
     domain: &Name,
     holder: &DutyHolder,
     have: Position,
@@ -211,7 +240,6 @@
         work_ms: Vec::new(),
         copies: cx.copies_in_domain(domain),
         prompts: Vec::new(),
-        config: None,
     };
     let exchange = async {
         let connection = cx.peers.get(holder.peers).await?;
@@ -225,6 +253,7 @@
             return None;
         }
     };
+    fetch_config(cx, holder, &Arc::default(), reply.position.config);
     cx.hub.note_domain(domain, reply.loads.clone(), cx.now());
     cx.fleet.update(|state| {
         for server in reply.servers.iter().filter(|server| server.failure_domain == *domain) {
@@ -239,9 +268,6 @@
         if let Some((members, _)) = &reply.members {
             state.set_domain_members(domain, members.clone(), cx.now());
         }
-        if let Some(raw) = &reply.config {
-            accept_config(state, raw, "node");
-        }
     });
     Some(reply.position)
 }
--- a/savoryport/src/node/view.rs
+++ b/savoryport/src/node/view.rs
@@ -1,9 +1,13 @@
 //! What a node believes of the fleet, as one immutable snapshot.
 
 use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use savoryport_core::Name;
 use savoryport_core::node::deployment::Deployment;
 use savoryport_core::node::registry::BackendServer;
@@ -30,14 +34,50 @@
 }
 
 /// The operators' configuration with the bytes that it was decoded from, which are relayed.
+///
+/// They are kept compressed: with some thousand routes they are half a megabyte, which takes the link
+/// of a small VM a second for each follower.
 #[derive(Debug, Clone)]
 pub struct AcceptedConfig {
     /// The decoded configuration.
     pub deployment: Arc<Deployment>,
-    /// The bytes as they lie in the store.
-    pub raw: Arc<[u8]>,
+    /// The bytes as they lie in the store, compressed.
+    packed: Arc<[u8]>,
 }
 
+impl AcceptedConfig {
+    /// Packs a configuration with the bytes that it was decoded from.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error, which memory alone can cause.
+    pub fn pack(deployment: Deployment, raw: &[u8]) -> io::Result<Self> {
+        let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+        encoder.write_all(raw)?;
+        Ok(Self { deployment: Arc::new(deployment), packed: encoder.finish()?.into() })
+    }
+
+    /// Returns the compressed bytes.
+    pub fn packed(&self) -> &[u8] {
+        &self.packed
+    }
+
+    /// Returns the bytes that were packed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for bytes that were not packed like this, or that are too many.
+    pub fn unpack(packed: &[u8]) -> io::Result<Vec<u8>> {
+        let mut raw = Vec::new();
+        let decoder = DeflateDecoder::new(packed);
+        decoder.take(MAX_CONFIG_BYTES).read_to_end(&mut raw)?;
+        Ok(raw)
+    }
+}
+
+/// The longest configuration that is unpacked, in bytes: several times what a value of the store holds.
+const MAX_CONFIG_BYTES: u64 = 8 * 1024 * 1024;
+
 /// One snapshot.
 #[derive(Debug, Clone, Default)]
 pub struct View {
