Revert "Lay copies of absent models on disks while the weight store is idle (trial)"

The loads keep servers from adapter orders for six seconds each, and few of the laid copies were asked for.

--- a/savoryport/src/node/desk.rs
+++ b/savoryport/src/node/desk.rs
@@ -11,7 +11,7 @@
 use savoryport_core::node::orders::EngineLedger;
 use savoryport_core::node::placement::{
     DemandAverage, LoadAllowance, Missing, Move, PlacementInput, PlacementServer, WeightSource,
-    load_time, next_disk_copy, next_move, owner, weight_source,
+    load_time, next_move, owner, weight_source,
 };
 use savoryport_core::node::registry::BackendServer;
 use smallvec::SmallVec;
@@ -329,7 +329,6 @@
             allowance
         });
         let may_use_store = allowance.may_begin(now);
-        let is_store_idle = allowance.is_idle(now);
         let no_loads = HashMap::new();
         let options: Vec<PlacementServer<'_>> = servers
             .iter()
@@ -353,7 +352,6 @@
                     server,
                     models,
                     in_use,
-                    adapter_requests: ledger.adapter_requests(),
                     free_mb: ledger.free_mb(class),
                     is_open,
                     loaded_at: self.loaded_at.get(&server.id).unwrap_or(&no_loads),
@@ -369,7 +367,7 @@
             may_use_store,
             now,
         };
-        next_move(&input).or_else(|| is_store_idle.then(|| next_disk_copy(&input)).flatten())
+        next_move(&input)
     }
 
     fn note(&mut self, chosen: &Move, now: Instant) {
--- a/savoryport_core/src/node/deployment.rs
+++ b/savoryport_core/src/node/deployment.rs
@@ -86,8 +86,6 @@
     pub load_from_disk: Duration,
     /// The time to load it from the server's host memory.
     pub load_from_memory: Duration,
-    /// The number of its adapters.
-    pub adapters: u32,
     /// Memory for one of its adapters in MB.
     pub adapter_mb: f64,
 }
--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -17,13 +17,10 @@
 /// The share of a server's time that one copy serves before another one is worth a load.
 const FULL_COPY_SHARE: f64 = 0.45;
 
-/// The work in servers' worth from which a domain without a copy loads one from the weight store. Single
-/// requests stay below it.
+/// The work in servers' worth from which a domain without a copy gets one of its own. Single requests
+/// stay below it.
 const FIRST_COPY_SHARE: f64 = 0.12;
 
-/// The same where a server of the domain has the weights on its disk or in its memory.
-const FIRST_QUICK_COPY_SHARE: f64 = 0.05;
-
 /// A copy makes way only for one that is worth this many times as much.
 const GAIN_FACTOR: f64 = 1.5;
 
@@ -78,8 +75,6 @@
     pub models: SmallVec<[Name; 4]>,
     /// Requests under way by model.
     pub in_use: BTreeMap<Name, u32>,
-    /// Requests under way that use an adapter.
-    pub adapter_requests: u32,
     /// Free accelerator memory in MB.
     pub free_mb: f64,
     /// Whether an order may be given now.
@@ -177,13 +172,8 @@
         };
     }
     let share = demand / here.max(1) as f64;
-    let is_quick = input
-        .servers
-        .iter()
-        .any(|server| server.is_open && weight_source(server.server, model) != WeightSource::Store);
-    let first = if is_quick { FIRST_QUICK_COPY_SHARE } else { FIRST_COPY_SHARE };
     match here {
-        0 if demand >= first => demand,
+        0 if demand >= FIRST_COPY_SHARE => demand,
         0 => 0.0,
         _ if share > FULL_COPY_SHARE => demand / (here + 1) as f64,
         _ => 0.0,
@@ -223,88 +213,6 @@
 /// What each request under way at a copy that makes way costs, in servers' worth.
 const DRAIN_COST: f64 = 0.01;
 
-/// Returns a load whose purpose is the copy that it leaves on a server's disk.
-///
-/// Load pattern: demand that moves to models nobody asked for until now. A load from the weight store
-/// takes seconds in which a single copy carries the whole demand; from a disk of the domain it takes one.
-/// Only idle spare copies make way, and only while no other load needs the weight store.
-pub fn next_disk_copy(input: &PlacementInput<'_>) -> Option<Move> {
-    let copies = copies_in_domain(input.servers);
-    let mut absent: Vec<&ModelSpec> = input
-        .class
-        .models
-        .values()
-        .filter(|spec| !is_in_domain(input.servers, &copies, &spec.name))
-        .collect();
-    // What has a steady demand is known to need no more; what is silent may rise.
-    absent.sort_by(|a, b| {
-        let key = |spec: &ModelSpec| {
-            (input.demand.contains_key(&spec.name), std::cmp::Reverse(spec.adapters))
-        };
-        key(a).cmp(&key(b))
-    });
-    absent.into_iter().find_map(|spec| {
-        let options = input.servers.iter().filter(|server| server.is_open && is_quiet(server));
-        let (unload, server) = options
-            .filter_map(|server| Some((spare_copies(input, &copies, server, spec)?, server)))
-            .min_by(|a, b| {
-                let key = |option: &(SmallVec<[Name; 2]>, &PlacementServer<'_>)| {
-                    (option.0.len(), busy_share(input, &copies, option.1))
-                };
-                key(a).partial_cmp(&key(b)).unwrap_or(std::cmp::Ordering::Equal)
-            })?;
-        Some(Move {
-            server: server.server.id.clone(),
-            unload,
-            load: spec.name.clone(),
-            source: WeightSource::Store,
-            value: 0.0,
-        })
-    })
-}
-
-fn is_in_domain(
-    servers: &[PlacementServer<'_>],
-    copies: &BTreeMap<Name, usize>,
-    model: &str,
-) -> bool {
-    copies.contains_key(model)
-        || servers.iter().any(|server| weight_source(server.server, model) != WeightSource::Store)
-}
-
-/// Returns whether none of the server's adapters is in use: a server that loads takes no orders for
-/// adapters.
-fn is_quiet(server: &PlacementServer<'_>) -> bool {
-    server.adapter_requests == 0
-}
-
-/// Returns idle copies that make room for a model of this size, without which the domain does as well.
-fn spare_copies(
-    input: &PlacementInput<'_>,
-    copies: &BTreeMap<Name, usize>,
-    server: &PlacementServer<'_>,
-    spec: &ModelSpec,
-) -> Option<SmallVec<[Name; 2]>> {
-    let mut free = server.free_mb;
-    let mut dropped = SmallVec::new();
-    for model in &server.models {
-        if free >= spec.memory_mb {
-            break;
-        }
-        let is_idle = input.demand.get(model).is_none_or(|demand| *demand < IDLE_SHARE);
-        let has_other = copies.get(model).copied().unwrap_or(0) > 1;
-        let is_used = server.in_use.get(model).is_some_and(|requests| *requests > 0);
-        if (is_idle || has_other) && !is_used && may_drop(input, server, model) {
-            free += input.class.models.get(model).map_or(0.0, |spec| spec.memory_mb);
-            dropped.push(model.clone());
-        }
-    }
-    (free >= spec.memory_mb).then_some(dropped)
-}
-
-/// Below this demand in servers' worth a copy is idle.
-const IDLE_SHARE: f64 = 0.02;
-
 /// What a second of loading costs in servers' worth when servers are compared.
 const LOAD_SECOND_COST: f64 = 0.05;
 
@@ -403,11 +311,6 @@
         self.begun.len() < self.most
     }
 
-    /// Returns whether no load began within the window.
-    pub fn is_idle(&mut self, now: Instant) -> bool {
-        self.may_begin(now) && self.begun.is_empty()
-    }
-
     /// Counts a load.
     pub fn begin(&mut self, now: Instant) {
         self.begun.push(now);
