--- a/savoryport/src/node/desk.rs
+++ b/savoryport/src/node/desk.rs
@@ -352,6 +352,7 @@
                     server,
                     models,
                     in_use,
+                    adapter_requests: ledger.adapter_requests(),
                     free_mb: ledger.free_mb(class),
                     is_open,
                     loaded_at: self.loaded_at.get(&server.id).unwrap_or(&no_loads),
--- a/savoryport_core/src/node/orders.rs
+++ b/savoryport_core/src/node/orders.rs
@@ -234,6 +234,11 @@
         self.requests.get(model).copied().unwrap_or(0)
     }
 
+    /// Returns how many requests use an adapter.
+    pub fn adapter_requests(&self) -> u32 {
+        self.models.values().flat_map(BTreeMap::values).map(|usage| usage.requests).sum()
+    }
+
     /// Returns the requests under way by model.
     pub fn requests_by_model(&self) -> BTreeMap<Name, u32> {
         self.requests.clone()
--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -75,6 +75,8 @@
     pub models: SmallVec<[Name; 4]>,
     /// Requests under way by model.
     pub in_use: BTreeMap<Name, u32>,
+    /// Requests under way that use an adapter.
+    pub adapter_requests: u32,
     /// Free accelerator memory in MB.
     pub free_mb: f64,
     /// Whether an order may be given now.
@@ -199,8 +201,10 @@
         if lost * GAIN_FACTOR > value {
             continue;
         }
+        let seconds = load_time(spec, source).as_secs_f64();
+        let blocked = f64::from(server.adapter_requests) * BLOCKED_ADAPTER_COST;
         let cost = lost
-            + load_time(spec, source).as_secs_f64() * LOAD_SECOND_COST
+            + seconds * (LOAD_SECOND_COST + blocked)
             + busy_share(input, copies, server);
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             let (id, load) = (server.server.id.clone(), model.clone());
@@ -216,6 +220,10 @@
 /// What a second of loading costs in servers' worth when servers are compared.
 const LOAD_SECOND_COST: f64 = 0.05;
 
+/// What a second of loading costs for each request that uses an adapter there: a server that loads takes
+/// no orders for adapters, and the next adapter of the same model has to wait or go elsewhere.
+const BLOCKED_ADAPTER_COST: f64 = 0.03;
+
 /// Returns the work that the server's other models bring it.
 fn busy_share(
     input: &PlacementInput<'_>,
