--- /dev/null
+++ b/savoryport_core/tests/node_decisions.rs
@@ -0,0 +1,435 @@
+//! The load patterns that each decision of a node answers, replayed.
+
+mod node_support;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use node_support::{class, server};
+use savoryport_core::Name;
+use savoryport_core::node::admission::{Prospect, Verdict, judge};
+use savoryport_core::node::budget::{RetryBound, RetryBudget};
+use savoryport_core::node::duty::Duty;
+use savoryport_core::node::health::{HealthBoard, ServerOutcome};
+use savoryport_core::node::load::{LoadBoard, ServerLoad};
+use savoryport_core::node::placement::{
+    DemandAverage, LoadAllowance, Missing, PlacementInput, PlacementServer, WeightSource, anchor,
+    next_move, owner,
+};
+use savoryport_core::node::prefix::PrefixMap;
+use savoryport_core::node::registry::{BackendServer, Registry};
+use savoryport_core::node::request::{Generation, PromptPart};
+use savoryport_core::node::selection::{
+    Candidate, Demanded, Distance, SelectionContext, SelectionCosts, Speeds, choose,
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A prompt of a shared part and one of its own, as drafts have.
+fn draft(model: &str) -> Generation {
+    let parts = [PromptPart { id: 7, tokens: 6_300 }, PromptPart { id: 8, tokens: 2_890 }];
+    Generation {
+        model: model.into(),
+        adapter: None,
+        prompt_tokens: 9_190,
+        output_tokens: 50,
+        parts: parts.into_iter().collect(),
+    }
+}
+
+/// Everything that a choice looks at.
+#[derive(Default)]
+struct Desk {
+    loads: LoadBoard,
+    prefixes: PrefixMap,
+    health: HealthBoard,
+    speeds: Speeds,
+}
+
+impl Desk {
+    fn choose(&self, candidates: &[Candidate<'_>], asked: &Generation, now: Instant) -> Name {
+        let cx = SelectionContext {
+            loads: &self.loads,
+            prefixes: &self.prefixes,
+            health: &self.health,
+            speeds: &self.speeds,
+            costs: SelectionCosts::default(),
+            now,
+        };
+        let keys = asked.prefix_keys();
+        let demanded =
+            Demanded { generation: Some(asked), keys: &keys, service: "drafts", rank: 0 };
+        let chosen = choose(candidates.iter().copied(), &demanded, &cx);
+        chosen.expect("there are candidates").candidate.server.id.clone()
+    }
+}
+
+fn near(server: &BackendServer) -> Candidate<'_> {
+    Candidate { server, distance: Distance::Near, adapter_orders: 0 }
+}
+
+#[test]
+fn a_burst_of_long_prompts_spreads_over_the_servers() {
+    let (a, b) = (server("a", "east", &["m"]), server("b", "east", &["m"]));
+    let (mut desk, now) = (Desk::default(), Instant::now());
+    let mut counts: HashMap<Name, u32> = HashMap::new();
+    for _ in 0..20 {
+        let chosen = desk.choose(&[near(&a), near(&b)], &draft("m"), now);
+        desk.loads.begin(&chosen, 0, 180.0);
+        *counts.entry(chosen).or_default() += 1;
+    }
+    assert_eq!(counts.values().copied().collect::<Vec<_>>(), [10, 10]);
+}
+
+#[test]
+fn what_other_nodes_sent_counts_like_what_was_sent_here() {
+    let (a, b) = (server("a", "east", &["m"]), server("b", "east", &["m"]));
+    let (mut desk, now) = (Desk::default(), Instant::now());
+    let busy = ServerLoad { prefill_ms: [900.0, 0.0, 0.0], running: 5 };
+    desk.loads.set_others(HashMap::from([("a".into(), busy)]));
+    assert_eq!(&*desk.choose(&[near(&a), near(&b)], &draft("m"), now), "b");
+}
+
+#[test]
+fn a_cached_prefix_outweighs_a_short_queue_but_not_a_long_one() {
+    let (a, b) = (server("a", "east", &["m"]), server("b", "east", &["m"]));
+    let (mut desk, now) = (Desk::default(), Instant::now());
+    let asked = draft("m");
+    desk.prefixes.record(&a.id, a.incarnation, &asked.prefix_keys(), 250_000, now);
+    desk.loads.begin(&a.id, 0, 50.0);
+    assert_eq!(&*desk.choose(&[near(&a), near(&b)], &asked, now), "a");
+    desk.loads.begin(&a.id, 0, 400.0);
+    assert_eq!(&*desk.choose(&[near(&a), near(&b)], &asked, now), "b");
+}
+
+#[test]
+fn a_restarted_server_has_nothing_cached() {
+    let (mut map, now) = (PrefixMap::default(), Instant::now());
+    let keys = draft("m").prefix_keys();
+    map.record(&"a".into(), 1, &keys, 250_000, now);
+    assert_eq!(map.cached_tokens("a", 1, &keys), 9_190);
+    assert_eq!(map.cached_tokens("a", 2, &keys), 0);
+}
+
+#[test]
+fn a_full_cache_forgets_its_oldest_parts() {
+    let (mut map, now) = (PrefixMap::default(), Instant::now());
+    let prompt = |id: u64| {
+        let mut asked = draft("m");
+        asked.parts = [PromptPart { id, tokens: 1_000 }].into_iter().collect();
+        asked.prefix_keys()
+    };
+    for id in 0..11 {
+        map.record(&"a".into(), 1, &prompt(id), 10_000, now + ms(id));
+    }
+    assert_eq!(map.cached_tokens("a", 1, &prompt(0)), 0);
+    assert_eq!(map.cached_tokens("a", 1, &prompt(10)), 1_000);
+}
+
+#[test]
+fn a_server_that_fails_part_of_its_requests_gets_little_work() {
+    let (a, b) = (server("a", "east", &["m"]), server("b", "east", &["m"]));
+    let (mut desk, now) = (Desk::default(), Instant::now());
+    for failed in [true, false, true, false, true] {
+        let outcome = if failed { ServerOutcome::Failed } else { ServerOutcome::Answered };
+        desk.health.note(&a.id, outcome, now);
+    }
+    desk.loads.begin(&b.id, 0, 300.0);
+    assert_eq!(&*desk.choose(&[near(&a), near(&b)], &draft("m"), now), "b");
+}
+
+#[test]
+fn an_unreachable_server_is_left_alone_for_a_while_and_tried_again() {
+    let (mut health, now) = (HealthBoard::default(), Instant::now());
+    health.note(&"a".into(), ServerOutcome::Unreachable, now);
+    assert!(health.is_paused("a", now + ms(200)));
+    assert!(!health.is_paused("a", now + ms(300)));
+    for _ in 0..10 {
+        health.note(&"a".into(), ServerOutcome::Unreachable, now);
+    }
+    assert!(health.is_paused("a", now + ms(1_900)));
+    assert!(!health.is_paused("a", now + ms(2_100)));
+}
+
+#[test]
+fn a_far_server_is_asked_only_when_near_ones_would_take_longer() {
+    let (a, far) = (server("a", "east", &["m"]), server("far", "west", &["m"]));
+    let (mut desk, now) = (Desk::default(), Instant::now());
+    let candidates =
+        [near(&a), Candidate { server: &far, distance: Distance::Far, adapter_orders: 0 }];
+    desk.loads.begin(&a.id, 0, 60.0);
+    assert_eq!(&*desk.choose(&candidates, &draft("m"), now), "a");
+    desk.loads.begin(&a.id, 0, 200.0);
+    assert_eq!(&*desk.choose(&candidates, &draft("m"), now), "far");
+}
+
+#[test]
+fn a_flood_is_refused_at_once_where_its_first_token_cannot_come() {
+    let prospect = |expected| Prospect {
+        rank: 2,
+        expected: ms(expected),
+        elapsed: Duration::ZERO,
+        target: ms(800),
+        left: ms(5_000),
+    };
+    assert_matches!(judge(&prospect(200), 0.5), Verdict::Serve { priority: 6 });
+    assert_matches!(judge(&prospect(2_000), 0.5), Verdict::Serve { priority: 8 });
+    let refused = judge(&prospect(9_000), 0.0);
+    assert_matches!(refused, Verdict::Refuse { retry_after } if retry_after >= ms(8_600));
+}
+
+#[test]
+fn refused_callers_do_not_come_back_in_step() {
+    let prospect = Prospect {
+        rank: 0,
+        expected: ms(9_000),
+        elapsed: Duration::ZERO,
+        target: ms(800),
+        left: ms(5_000),
+    };
+    assert!(judge(&prospect, 0.1) != judge(&prospect, 0.9));
+}
+
+#[test]
+fn late_work_of_a_rank_goes_behind_work_that_can_be_on_time_but_before_the_next_rank() {
+    let judged = |rank, expected| {
+        let prospect = Prospect {
+            rank,
+            expected: ms(expected),
+            elapsed: Duration::ZERO,
+            target: ms(800),
+            left: ms(5_000),
+        };
+        match judge(&prospect, 0.0) {
+            Verdict::Serve { priority } => priority,
+            Verdict::Refuse { .. } => panic!("there is time"),
+        }
+    };
+    assert!(judged(0, 100) < judged(0, 1_000));
+    assert!(judged(0, 1_000) < judged(1, 100));
+}
+
+#[test]
+fn repeats_of_all_nodes_together_stay_within_the_bound_in_every_window() {
+    let bound = RetryBound { ratio: 0.2, extra: 58.0 };
+    let service: Name = "drafts".into();
+    let nodes = 9;
+    let mut budgets: Vec<RetryBudget> = (0..nodes).map(|_| RetryBudget::new(bound, nodes)).collect();
+    // Every request fails and every node repeats as often as it may, for many windows on end.
+    for _ in 0..50 {
+        let (mut requests, mut repeats) = (0.0, 0.0);
+        for budget in &mut budgets {
+            for _ in 0..40 {
+                requests += 1.0;
+                budget.earn(&service);
+                while budget.take(&service) {
+                    repeats += 1.0;
+                }
+            }
+        }
+        assert!(repeats <= bound.ratio * requests + bound.extra, "{repeats} of {requests}");
+    }
+}
+
+#[test]
+fn a_holder_waits_a_whole_turn_and_stops_before_its_lease_can_lapse() {
+    let (now, lease, turn) = (Instant::now(), ms(2_000), ms(3_000));
+    let mut duty = Duty::new(lease);
+    duty.won(41, now, now, turn);
+    assert_eq!(duty.may_order(now + ms(100)), None);
+    for step in 1..=4 {
+        duty.renewed(now + ms(700 * step));
+    }
+    assert_eq!(duty.may_order(now + ms(3_100)), Some(41));
+    // The last renewal was sent at 2,800 ms, so the store may give the duty away at 4,800 ms.
+    assert_eq!(duty.may_order(now + ms(4_700)), None);
+}
+
+#[test]
+fn a_thawed_holder_gives_no_order() {
+    let (now, lease) = (Instant::now(), ms(2_000));
+    let mut duty = Duty::new(lease);
+    duty.won(41, now, now, Duration::ZERO);
+    assert_eq!(duty.may_order(now), Some(41));
+    assert_eq!(duty.may_order(now + Duration::from_secs(6)), None);
+}
+
+#[test]
+fn entries_that_lapse_in_an_outage_of_the_store_stay_for_two_seconds() {
+    let (mut registry, now) = (Registry::default(), Instant::now());
+    registry.put(server("a", "east", &["m"]));
+    registry.put(server("b", "east", &["m"]));
+    registry.replace(vec![server("a", "east", &["m"])], true, now);
+    assert!(registry.expire(now + ms(1_900)).is_empty());
+    assert_eq!(registry.expire(now + ms(2_000)), ["b".into()]);
+    assert_eq!(registry.servers().len(), 1);
+}
+
+#[test]
+fn an_entry_that_is_missing_from_a_listing_without_an_outage_goes_at_once() {
+    let (mut registry, now) = (Registry::default(), Instant::now());
+    registry.put(server("a", "east", &["m"]));
+    registry.replace(Vec::new(), false, now);
+    assert!(registry.servers().is_empty());
+}
+
+/// A failure domain with its copies and demand.
+struct Domain {
+    servers: Vec<BackendServer>,
+    holders: HashMap<Name, Vec<Name>>,
+    missing: BTreeMap<Name, Missing>,
+    demand: HashMap<Name, f64>,
+    loaded_at: HashMap<Name, Instant>,
+}
+
+impl Domain {
+    fn new(servers: &[(&str, &[&str])], elsewhere: &[&str]) -> Self {
+        let mut holders: HashMap<Name, Vec<Name>> = HashMap::new();
+        for model in elsewhere {
+            holders.entry((*model).into()).or_default().push("elsewhere".into());
+        }
+        for (id, models) in servers {
+            for model in *models {
+                holders.entry((*model).into()).or_default().push((*id).into());
+            }
+        }
+        Self {
+            servers: servers.iter().map(|(id, models)| server(id, "east", models)).collect(),
+            holders,
+            missing: BTreeMap::new(),
+            demand: HashMap::new(),
+            loaded_at: HashMap::new(),
+        }
+    }
+
+    fn next(&self, may_use_store: bool) -> Option<(Name, Name)> {
+        let class = class();
+        let servers: Vec<PlacementServer<'_>> = self
+            .servers
+            .iter()
+            .map(|server| PlacementServer {
+                server,
+                models: server.models.iter().map(|model| model.name.clone()).collect(),
+                in_use: BTreeMap::new(),
+                adapter_requests: 0,
+                free_mb: class.memory_mb - 70_000.0 * server.models.len() as f64,
+                is_open: true,
+                loaded_at: &self.loaded_at,
+            })
+            .collect();
+        let input = PlacementInput {
+            class: &class,
+            servers: &servers,
+            holders: &self.holders,
+            missing: &self.missing,
+            demand: &self.demand,
+            may_use_store,
+            now: Instant::now(),
+        };
+        let chosen = next_move(&input)?;
+        for model in &chosen.unload {
+            let holders = &self.holders[model];
+            assert_ne!(anchor(model, holders), Some(&chosen.server), "the last copy goes");
+        }
+        Some((chosen.server, chosen.load))
+    }
+}
+
+#[test]
+fn demand_that_moves_to_a_model_elsewhere_brings_a_copy_here() {
+    let mut domain = Domain::new(&[("a", &["m0", "m1"])], &["m2"]);
+    assert_eq!(domain.next(true), None);
+    domain.demand.insert("m2".into(), 0.3);
+    assert_eq!(domain.next(true), Some(("a".into(), "m2".into())));
+}
+
+#[test]
+fn a_single_request_moves_nothing() {
+    let mut average = DemandAverage::default();
+    let (now, model) = (Instant::now(), Name::from("m2"));
+    average.observe(&HashMap::new(), now);
+    average.observe(&HashMap::from([(model.clone(), 180.0)]), now + ms(100));
+    let mut domain = Domain::new(&[("a", &["m0", "m1"])], &["m2"]);
+    domain.demand = average.demand();
+    assert_eq!(domain.next(true), None);
+    for step in 2..30 {
+        average.observe(&HashMap::from([(model.clone(), 30.0)]), now + ms(100 * step));
+    }
+    domain.demand = average.demand();
+    assert_eq!(domain.next(true), Some(("a".into(), "m2".into())));
+}
+
+#[test]
+fn a_model_that_requests_wait_for_goes_before_one_that_nobody_asks_for() {
+    let mut domain = Domain::new(&[("a", &["m0", "m1"])], &[]);
+    domain.missing.insert("m2".into(), Missing::Unasked);
+    domain.missing.insert("m3".into(), Missing::Awaited);
+    assert_eq!(domain.next(true), Some(("a".into(), "m3".into())));
+    domain.missing.remove("m3");
+    assert_eq!(domain.next(true), Some(("a".into(), "m2".into())));
+}
+
+#[test]
+fn the_last_copy_of_a_model_stays_whatever_the_demand() {
+    let mut domain = Domain::new(&[("a", &["m0", "m1", "m3"])], &["m2"]);
+    domain.demand.insert("m2".into(), 5.0);
+    assert_eq!(domain.next(true), None);
+}
+
+#[test]
+fn without_leave_from_the_weight_store_only_disks_and_memory_are_used() {
+    let mut domain = Domain::new(&[("a", &["m0"]), ("b", &["m1"])], &["m2"]);
+    domain.demand.insert("m2".into(), 0.3);
+    assert_eq!(domain.next(false), None);
+    domain.servers[1].on_disk.push("m2".into());
+    assert_eq!(domain.next(false), Some(("b".into(), "m2".into())));
+}
+
+#[test]
+fn loads_of_all_domains_together_stay_within_the_weight_stores_rate() {
+    let (rate, window, domains) = (2.1, Duration::from_secs(5), 3);
+    let now = Instant::now();
+    let mut allowances: Vec<LoadAllowance> =
+        (0..domains).map(|_| LoadAllowance::new(rate, window, domains)).collect();
+    let mut begun: Vec<Instant> = Vec::new();
+    for step in 0..400 {
+        let at = now + ms(50 * step);
+        for allowance in &mut allowances {
+            if allowance.may_begin(at) {
+                allowance.begin(at);
+                begun.push(at);
+            }
+        }
+    }
+    for start in &begun {
+        let within = begun.iter().filter(|at| **at >= *start && **at < *start + window).count();
+        assert!(within as f64 <= rate * window.as_secs_f64(), "{within} loads in a window");
+    }
+}
+
+#[test]
+fn a_new_holder_counts_the_window_as_used() {
+    let now = Instant::now();
+    let mut allowance = LoadAllowance::new(2.1, Duration::from_secs(5), 3);
+    allowance.assume_used(now);
+    assert!(!allowance.may_begin(now + ms(4_900)));
+    assert!(allowance.may_begin(now + ms(5_000)));
+}
+
+#[test]
+fn every_node_finds_the_same_owner_of_a_missing_model() {
+    let domains: Vec<Name> = vec!["east".into(), "west".into(), "south".into()];
+    let reversed: Vec<Name> = domains.iter().rev().cloned().collect();
+    let mut owners: BTreeMap<Name, u32> = BTreeMap::new();
+    for number in 0..300 {
+        let model = format!("m{number}");
+        let found = owner(&model, domains.iter()).expect("there are domains");
+        assert_eq!(Some(found), owner(&model, reversed.iter()));
+        *owners.entry(found.clone()).or_default() += 1;
+    }
+    assert!(owners.values().all(|count| *count > 60), "{owners:?}");
+    assert_eq!(WeightSource::Memory.min(WeightSource::Store), WeightSource::Memory);
+}
