--- /dev/null
+++ b/savoryport/tests/node_site/mod.rs
@@ -0,0 +1,356 @@
+//! A small platform deployment for tests: real nodes as processes, stand-ins in the test's own.
+
+// Each test program uses its own part of this.
+#![allow(dead_code)]
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use savoryport_standin::backend::{BackendConfig, BackendStandin};
+use savoryport_standin::fleet::free_address;
+use savoryport_standin::metadata::MetadataStandin;
+use savoryport_standin::proxy::Proxy;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use ureq::Agent;
+
+/// How long a site may take to come up.
+const START_LIMIT: Duration = Duration::from_secs(20);
+
+/// The pause between two looks at a condition.
+const POLL: Duration = Duration::from_millis(20);
+
+/// The lease that the site's settings and the rules of turns use, in milliseconds.
+pub const TURN_MS: u64 = 1_500;
+
+/// One node.
+pub struct SiteNode {
+    pub name: String,
+    pub callers: String,
+    pub directory: String,
+    settings: String,
+    process: Option<Child>,
+    pub lines: Arc<Mutex<Vec<String>>>,
+    /// Stands between the node and the store.
+    pub store_path: Proxy,
+}
+
+/// A whole site. Its processes end with it.
+pub struct NodeSite {
+    pub store: MetadataStandin,
+    pub servers: Vec<BackendStandin>,
+    pub nodes: Vec<SiteNode>,
+    pub version: u64,
+    _dir: TempDir,
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerAnswer {
+    pub status: u16,
+    /// The server's proof, if the answer has one.
+    pub proof: Option<String>,
+    pub retry_after: Option<String>,
+    /// The body, or nothing where it broke off.
+    pub body: Option<String>,
+}
+
+/// What a caller asks.
+#[derive(Debug, Clone, Copy)]
+pub enum Ask {
+    /// Not repeatable.
+    Commit,
+    /// Repeatable.
+    Lookup,
+    /// A stream that may go on elsewhere, of a model or an adapter.
+    Draft(&'static str),
+}
+
+impl NodeSite {
+    /// Starts `nodes` nodes before four engines and three plain servers.
+    pub fn start(nodes: usize) -> Self {
+        let dir = TempDir::new().expect("a temporary directory");
+        let store = MetadataStandin::start("127.0.0.1:0");
+        let mut site =
+            Self { store, servers: Vec::new(), nodes: Vec::new(), version: 1, _dir: dir };
+        site.write_config();
+        for number in 0..4 {
+            let models: &[&str] = if number < 2 { &["m0", "m1"] } else { &["m0", "m2"] };
+            site.add_server(&format!("engine-{number}"), "drafts", models);
+        }
+        for number in 0..3 {
+            site.add_server(&format!("plain-{number}"), "orders", &[]);
+        }
+        for number in 0..nodes {
+            site.add_node(&format!("vm-{number}"));
+        }
+        site.wait("every node is ready", |site| site.nodes.iter().all(SiteNode::is_ready));
+        site.wait("somebody holds the duty", |site| !site.store.keys("savoryport/duty/").is_empty());
+        site.wait("the servers are known", |site| site.get(0, "warm", Ask::Lookup).status == 200);
+        site
+    }
+
+    /// Writes the next version of the configuration.
+    pub fn write_config(&mut self) {
+        self.version += 1;
+        let route = |name: &str, path: &str, kind: &str, service: &str| {
+            json!({
+                "name": name, "host": "site.example", "pathPrefix": path, "kind": kind,
+                "timeoutMs": 4_000, "targetLatencyMs": 500, "priority": 0, "service": service,
+                "maxAttempts": if kind == "non_idempotent" { 1 } else { 2 },
+                "resumable": kind == "streaming", "sessionAffinity": kind == "streaming",
+            })
+        };
+        let model = |name: &str| {
+            json!({
+                "name": name, "weightsMb": 70_000.0, "loadTimeS": 0.4, "adapters": 8,
+                "adapterSizeMb": 10.0, "warmUpS": 0.1, "diskLoadS": 0.2,
+            })
+        };
+        let config = json!({
+            "version": self.version,
+            "routes": [
+                route("commit", "/commit/", "non_idempotent", "orders"),
+                route("lookup", "/lookup/", "idempotent", "orders"),
+                route("draft", "/draft/", "streaming", "drafts"),
+                route("newest", &format!("/v{}/", self.version), "idempotent", "orders"),
+            ],
+            "services": [
+                { "name": "orders", "healthPath": "/health", "connectionLimit": 100 },
+                { "name": "drafts", "healthPath": "/health", "connectionLimit": 100,
+                  "inferenceEngine": {
+                    "slots": 64, "kvCacheTokens": 100_000, "stride": 1, "weightsMb": 220_000.0,
+                    "adapterCapacity": 3, "loadsPerS": 2.0,
+                    "models": [model("m0"), model("m1"), model("m2")],
+                  } },
+            ],
+            "limits": {
+                "maxHeaderBytes": 16_384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3_000,
+                "idleTimeoutMs": 15_000,
+            },
+        });
+        self.store.write("op/config", &config);
+    }
+
+    /// Starts a server.
+    pub fn add_server(&mut self, id: &str, service: &str, models: &[&str]) {
+        let config = BackendConfig {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            failure_domain: "east-a".to_owned(),
+            models: models.iter().map(|model| (*model).to_owned()).collect(),
+            adapter_places: 3,
+            model_places: 3,
+            events: 8,
+            pace: Duration::from_millis(10),
+        };
+        let born = 1_000 + self.servers.len() as u64;
+        self.servers.push(BackendStandin::start("127.0.0.1:0", config, &self.store, born));
+    }
+
+    /// Returns a server by its id.
+    pub fn server(&self, id: &str) -> &BackendStandin {
+        self.servers.iter().find(|server| server.id() == id).expect("a known server")
+    }
+
+    /// Starts a node.
+    pub fn add_node(&mut self, name: &str) {
+        let store_path = Proxy::start("127.0.0.1:0", self.store.address());
+        let (callers, directory) = (free_address(), free_address());
+        let port = || {
+            let address = free_address();
+            address.rsplit_once(':').and_then(|(_, port)| port.parse::<u16>().ok())
+        };
+        let settings = json!({
+            "vm": name, "failure_domain": "east-a", "region": "east",
+            "failure_domains": { "east-a": "east" },
+            "callers_listen": callers, "directory_listen": directory,
+            "readiness_listen": free_address(),
+            "peers_port": port(), "metrics_port": port(),
+            "store": store_path.address(), "first_start": true,
+            "order_turn_ms": TURN_MS, "min_lease_ms": 500,
+            "store_poll_ms": 100, "store_timeout_ms": 400, "stop_within_s": 5.0,
+            "retry_extra": 60.0, "log_level": "info",
+        });
+        let file = self._dir.path().join(format!("{name}.json"));
+        std::fs::write(&file, settings.to_string()).expect("the directory is writable");
+        let mut node = SiteNode {
+            name: name.to_owned(),
+            callers,
+            directory,
+            settings: file.to_string_lossy().into_owned(),
+            process: None,
+            lines: Arc::default(),
+            store_path,
+        };
+        node.start();
+        self.nodes.push(node);
+    }
+
+    /// Waits for a condition.
+    ///
+    /// # Panics
+    ///
+    /// Panics with the nodes' last lines where it does not come.
+    pub fn wait(&self, what: &str, condition: impl Fn(&Self) -> bool) {
+        let ends = Instant::now() + START_LIMIT;
+        while !condition(self) {
+            if Instant::now() > ends {
+                for node in &self.nodes {
+                    let lines = node.lines.lock().expect("no holder panics");
+                    let last = lines.len().saturating_sub(10);
+                    eprintln!("{}:\n{}", node.name, lines[last..].join("\n"));
+                }
+                panic!("did not come: {what}");
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// Asks a node.
+    pub fn get(&self, node: usize, id: &str, ask: Ask) -> CallerAnswer {
+        self.nodes[node].ask(id, ask)
+    }
+
+    /// Returns how often a request ran over all servers.
+    pub fn runs_of(&self, request: &str) -> u32 {
+        self.servers.iter().map(|server| server.runs_of(request)).sum()
+    }
+
+    /// Returns how often each request ran over all servers.
+    pub fn runs(&self) -> HashMap<String, u32> {
+        let mut runs = HashMap::new();
+        for (request, count) in self.servers.iter().flat_map(BackendStandin::runs) {
+            *runs.entry(request).or_default() += count;
+        }
+        runs
+    }
+
+    /// Returns the VM that holds the duty, by the servers' account of who ordered last.
+    pub fn duty_holders(&self) -> Vec<String> {
+        self.store.keys("savoryport/duty/")
+    }
+}
+
+impl SiteNode {
+    /// Starts the process.
+    pub fn start(&mut self) {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_savoryport-node"))
+            .args(["--settings", &self.settings])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the program starts");
+        let out = child.stdout.take().expect("standard output is piped");
+        let lines = self.lines.clone();
+        std::thread::spawn(move || {
+            for line in BufReader::new(out).lines().map_while(Result::ok) {
+                lines.lock().expect("no holder panics").push(line);
+            }
+        });
+        self.process = Some(child);
+    }
+
+    /// Sends the process a signal.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(process) = &self.process {
+            let pid = Pid::from_raw(process.id() as i32).expect("a process id");
+            kill_process(pid, signal).expect("the process is ours");
+        }
+    }
+
+    /// Waits for the process to end.
+    pub fn wait(&mut self) -> Option<ExitStatus> {
+        self.process.take().and_then(|mut process| process.wait().ok())
+    }
+
+    /// Returns whether the node answers where to connect and takes callers.
+    pub fn is_ready(&self) -> bool {
+        let url = format!("http://{}/savoryport/readiness", self.directory);
+        agent(Duration::from_millis(500)).get(&url).call().is_ok_and(|res| res.status() == 200)
+    }
+
+    /// Returns the addresses that the node names to callers.
+    pub fn addresses(&self) -> Vec<String> {
+        let url = format!(
+            "http://{}/savoryport/resolution?name=site.example&region=east&zone=east-a",
+            self.directory
+        );
+        let Ok(mut res) = agent(Duration::from_millis(500)).get(&url).call() else {
+            return Vec::new();
+        };
+        let body: Value = res.body_mut().read_json().unwrap_or_default();
+        let addresses = body["addresses"].as_array().cloned().unwrap_or_default();
+        addresses.iter().filter_map(|address| address.as_str().map(str::to_owned)).collect()
+    }
+
+    /// Asks the node as a caller.
+    pub fn ask(&self, id: &str, ask: Ask) -> CallerAnswer {
+        let agent = agent(Duration::from_secs(8));
+        let url = |path: &str| format!("http://{}/{path}/{id}", self.callers);
+        let sent = match ask {
+            Ask::Lookup => agent
+                .get(url("lookup"))
+                .header("Host", "site.example")
+                .header("X-Attempt-Id", id)
+                .header("X-Deadline-Ms", "4000")
+                .call(),
+            Ask::Commit => agent
+                .post(url("commit"))
+                .header("Host", "site.example")
+                .header("X-Attempt-Id", id)
+                .header("X-Deadline-Ms", "4000")
+                .send("pay"),
+            Ask::Draft(model) => agent
+                .post(url("draft"))
+                .header("Host", "site.example")
+                .header("X-Attempt-Id", id)
+                .header("X-Deadline-Ms", "8000")
+                .header("X-Model", model)
+                .header("X-Token-Counts", "100,8")
+                .header("X-Prompt-Prefix", "5c1e07a2:60,91bd3f06:40")
+                .header("X-Hold", "not the caller's to set")
+                .send("draft"),
+        };
+        let Ok(mut res) = sent else {
+            return CallerAnswer { status: 0, proof: None, retry_after: None, body: None };
+        };
+        let header = |name: &str| {
+            res.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+        };
+        let (proof, retry_after) = (header("x-server-stamp"), header("retry-after"));
+        CallerAnswer {
+            status: res.status().as_u16(),
+            proof,
+            retry_after,
+            body: res.body_mut().read_to_string().ok(),
+        }
+    }
+}
+
+impl Drop for SiteNode {
+    fn drop(&mut self) {
+        if let Some(process) = &mut self.process {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+}
+
+fn agent(timeout: Duration) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .max_idle_connections(0)
+        .timeout_global(Some(timeout))
+        .build();
+    config.into()
+}
+
+/// Returns the whole stream that a caller is owed.
+pub fn whole_stream(id: &str) -> String {
+    (1..=8).map(|event| format!("id: {event}\ndata: event {event} of {id}\n\n")).collect()
+}
--- a/savoryport_standin/src/lib.rs
+++ b/savoryport_standin/src/lib.rs
@@ -4,10 +4,12 @@
 //! overcommitted, executions of a request), and fail on command. They take the project's wire
 //! types, not its logic.
 
+pub mod backend;
 pub mod engine;
 pub mod fleet;
 pub mod http;
 pub mod kv;
+pub mod metadata;
 pub mod proxy;
 pub mod service;
 pub mod vms;
