Refuse what its caller would leave before the first event, and learn from refusals

A request is refused if its first token is expected after three quarters of what callers wait; a full server is left alone for 150 ms by that rank and below; a 421 is remembered for the copy and incarnation.

--- a/savoryport/src/node/dispatch.rs
+++ b/savoryport/src/node/dispatch.rs
@@ -185,10 +185,18 @@
         let share = (limit / nodes).max(1);
         let class = service.and_then(|service| service.engine.as_ref());
         let adapter_places = class.map_or(0, |class| class.adapter_places);
+        let (copy, now) = (self.copy_name(), self.cx.now());
         let boards = self.cx.boards.lock();
-        let own = boards.loads.own();
+        let (own, health) = (boards.loads.own(), &boards.health);
+        let is_denied = |server: &BackendServer| {
+            copy.as_ref().is_some_and(|copy| {
+                health.is_denied(&server.id, copy, server.incarnation, now)
+            })
+        };
         self.ready(view)
             .filter(|server| !self.tried.contains(&server.id) && !self.avoided.contains(&server.id))
+            .filter(|server| !is_denied(server))
+            .filter(|server| !health.is_full(&server.id, self.route.rank, now))
             .filter(|server| own.get(&server.id).is_none_or(|load| load.running < share))
             .filter_map(|server| {
                 let adapter_orders =
--- a/savoryport/src/node/relay.rs
+++ b/savoryport/src/node/relay.rs
@@ -478,11 +478,35 @@
         );
         self.avoided.push(picked.server.id.clone());
         self.cx.metrics.not_run.inc();
+        self.learn_from_refusal(status, picked);
         if collect(body, REST_TIMEOUT).await.is_some() {
             self.cx.pool.keep(connection, keep_alive(&headers));
         }
     }
 
+    fn learn_from_refusal(&self, status: StatusCode, picked: &Picked) {
+        let (server, now) = (&picked.server, self.cx.now());
+        let mut boards = self.cx.boards.lock();
+        match (status, self.copy_name()) {
+            (StatusCode::MISDIRECTED_REQUEST, Some(copy)) => {
+                boards.health.note_denial(&server.id, copy, server.incarnation, now);
+            }
+            (StatusCode::SERVICE_UNAVAILABLE, _) => {
+                boards.health.note_full(&server.id, self.route.rank, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the model, or the model and adapter, that the request asks for.
+    pub(super) fn copy_name(&self) -> Option<Name> {
+        let asked = self.head.generation.as_ref()?;
+        Some(match &asked.adapter {
+            Some(adapter) => format!("{}/{adapter}", asked.model).into(),
+            None => asked.model.clone(),
+        })
+    }
+
     async fn server_failure(&mut self, opened: Opened, picked: &Picked) -> Attempt {
         let Opened { status, mut headers, body, connection, flight, .. } = opened;
         let body = collect(body, self.left()).await;
--- a/savoryport_core/src/node/admission.rs
+++ b/savoryport_core/src/node/admission.rs
@@ -18,6 +18,15 @@
 /// The highest value of the engines' priority, which goes last.
 const LAST_PRIORITY: u8 = 9;
 
+/// Callers leave a stream without its first event after this many times the target.
+const ABANDON_FACTOR: u32 = 4;
+
+/// Callers wait for the first event at least this long.
+const MIN_ABANDON: Duration = Duration::from_secs(2);
+
+/// The share of a caller's patience that the first token may be expected to take.
+const PATIENCE_SHARE: f64 = 0.75;
+
 /// How a request is dealt with.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Verdict {
@@ -50,7 +59,7 @@
 
 /// Judges a request; `draw` is uniform in 0..1.
 pub fn judge(prospect: &Prospect, draw: f64) -> Verdict {
-    if prospect.expected > prospect.left.mul_f64(FIRST_TOKEN_SHARE) {
+    if prospect.expected > longest_wait(prospect) {
         let surplus = prospect.expected.saturating_sub(prospect.target / 2);
         return Verdict::Refuse { retry_after: retry_after(surplus, draw) };
     }
@@ -58,6 +67,14 @@
     Verdict::Serve { priority: engine_priority(prospect.rank, late) }
 }
 
+/// Returns the longest time to the first token that is of use: work for a caller who leaves before it
+/// only delays the others.
+fn longest_wait(prospect: &Prospect) -> Duration {
+    let patience = (prospect.target * ABANDON_FACTOR).max(MIN_ABANDON).mul_f64(PATIENCE_SHARE);
+    let in_time = prospect.left.mul_f64(FIRST_TOKEN_SHARE);
+    in_time.min(patience.saturating_sub(prospect.elapsed))
+}
+
 /// Returns the time after which a refused caller may come back, where `wait` is the time until there
 /// is room.
 pub fn retry_after(wait: Duration, draw: f64) -> Duration {
--- a/savoryport_core/src/node/health.rs
+++ b/savoryport_core/src/node/health.rs
@@ -28,10 +28,18 @@
     Unreachable,
 }
 
+/// How long a server that refused a request as full gets no further ones of that rank or below.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+
+/// How long a server's word that it does not hold a model goes before other news.
+const DENIAL_LIFETIME: Duration = Duration::from_millis(1_500);
+
 /// Failure rates and pauses by server.
 #[derive(Debug, Clone, Default)]
 pub struct HealthBoard {
     servers: HashMap<Name, Health>,
+    /// Models that servers denied to hold, with the incarnation that was believed to be there.
+    denials: HashMap<(Name, Name), (u64, Instant)>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -40,6 +48,8 @@
     unreachable_in_a_row: u32,
     paused_until: Option<Instant>,
     last_heard: Option<Instant>,
+    /// Until when the server is taken for full, and the most urgent rank that it refused.
+    full: Option<(Instant, u8)>,
 }
 
 impl HealthBoard {
@@ -58,6 +68,35 @@
         }
     }
 
+    /// Notes that the server refused a request of this rank for want of room.
+    pub fn note_full(&mut self, server: &Name, rank: u8, now: Instant) {
+        let health = self.servers.entry(server.clone()).or_default();
+        let most_urgent = match health.full {
+            Some((until, refused)) if now < until => refused.min(rank),
+            _ => rank,
+        };
+        health.full = Some((now + FULL_PAUSE, most_urgent));
+    }
+
+    /// Returns whether the server is taken for full by requests of this rank.
+    pub fn is_full(&self, server: &str, rank: u8, now: Instant) -> bool {
+        let full = self.servers.get(server).and_then(|health| health.full);
+        full.is_some_and(|(until, refused)| now < until && rank >= refused)
+    }
+
+    /// Notes that the server said that it does not hold a model or an adapter: it may have started anew,
+    /// which the registry tells only with its next heartbeat.
+    pub fn note_denial(&mut self, server: &Name, copy: Name, incarnation: u64, now: Instant) {
+        self.denials.retain(|_, (_, until)| now < *until);
+        self.denials.insert((server.clone(), copy), (incarnation, now + DENIAL_LIFETIME));
+    }
+
+    /// Returns whether the server denied to hold the model or adapter and nothing newer is known.
+    pub fn is_denied(&self, server: &Name, copy: &Name, incarnation: u64, now: Instant) -> bool {
+        let denial = self.denials.get(&(server.clone(), copy.clone()));
+        denial.is_some_and(|(denied, until)| *denied == incarnation && now < *until)
+    }
+
     /// Notes that the server sent something.
     pub fn heard(&mut self, server: &Name, now: Instant) {
         self.servers.entry(server.clone()).or_default().last_heard = Some(now);
