--- a/savoryport/src/entry/completion.rs
+++ b/savoryport/src/entry/completion.rs
@@ -216,12 +216,7 @@
         let sending = connection.send(self.engine_request(&slot.address));
         let answer = match tokio::time::timeout(self.head_patience(), sending).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(
-                SendError::Broken { .. }
-                | SendError::NotConnected { .. }
-                | SendError::Refused { .. },
-            ))
-            | Err(_) => {
+            Ok(Err(SendError::Broken { .. } | SendError::NotConnected { .. })) | Err(_) => {
                 self.fire(AttemptEvent::Broken);
                 return Err(Failure::Engine);
             }
--- a/savoryport/src/node/fleet.rs
+++ b/savoryport/src/node/fleet.rs
@@ -19,9 +19,6 @@
 /// A member that only another node vouched for is forgotten this long after that node's last word.
 const HEARSAY_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// How long a server is taken for gone: by then its entry has lapsed or tells of another incarnation.
-const GONE_LIFETIME: Duration = Duration::from_millis(3_600);
-
 /// Removals that are remembered for followers; one that is further behind gets everything.
 const MAX_REMOVALS: usize = 256;
 
@@ -51,9 +48,6 @@
     /// Servers as the store lists them, or as the duty holder tells.
     pub registry: Registry,
     residency: HashMap<Name, Residency>,
-    /// Servers at whose address nobody listened, with the incarnation that is gone, and until when that
-    /// is believed.
-    gone: HashMap<Name, (u64, Instant)>,
     published: BTreeMap<Name, (u64, Arc<BackendServer>)>,
     removals: VecDeque<(u64, Name)>,
     /// Removals up to here are forgotten.
@@ -73,7 +67,6 @@
             config: None,
             registry: Registry::default(),
             residency: HashMap::new(),
-            gone: HashMap::new(),
             published: BTreeMap::new(),
             removals: VecDeque::new(),
             removals_from: 0,
@@ -102,7 +95,7 @@
         let mut state = self.lock();
         let result = change(&mut state);
         // The last snapshot is released before the next one replaces it.
-        let published = state.publish(&self.views.borrow(), Instant::now());
+        let published = state.publish(&self.views.borrow());
         if let Some(view) = published {
             self.views.send_replace(Arc::new(view));
         }
@@ -145,34 +138,6 @@
         self.residency.insert(server.clone(), residency);
     }
 
-    /// Notes that nobody listens at a server's address. What comes back there is another incarnation,
-    /// which holds nothing, and the registry tells that only with its first heartbeat.
-    pub fn note_gone(&mut self, server: &Name, incarnation: u64, now: Instant) {
-        self.gone.retain(|_, (_, until)| now < *until);
-        self.gone.insert(server.clone(), (incarnation, now + GONE_LIFETIME));
-    }
-
-    /// Returns the servers that are believed to be gone.
-    pub fn gone(&self, now: Instant) -> Vec<(Name, u64)> {
-        let gone = self.gone.iter().filter(|(_, (_, until))| now < *until);
-        gone.map(|(server, (incarnation, _))| (server.clone(), *incarnation)).collect()
-    }
-
-    /// Takes what another node found gone; what is known already keeps its time.
-    pub fn merge_gone(&mut self, gone: &[(Name, u64)], now: Instant) {
-        for (server, incarnation) in gone {
-            let known = self.gone.get(server).is_some_and(|(known, _)| known == incarnation);
-            if !known {
-                self.note_gone(server, *incarnation, now);
-            }
-        }
-    }
-
-    fn is_gone(&self, server: &BackendServer, now: Instant) -> bool {
-        let gone = self.gone.get(&server.id);
-        gone.is_some_and(|(incarnation, until)| *incarnation == server.incarnation && now < *until)
-    }
-
     /// Adds an adapter to what an order giver knows of a server.
     pub fn add_adapter(&mut self, server: &Name, model: &Name, adapter: &Name) {
         let models = self.residency.get_mut(server).map(|known| &mut known.models);
@@ -332,8 +297,8 @@
         }
     }
 
-    fn publish(&mut self, last: &View, now: Instant) -> Option<View> {
-        let servers_changed = self.merge_servers(now);
+    fn publish(&mut self, last: &View) -> Option<View> {
+        let servers_changed = self.merge_servers();
         let members = self.sorted_members();
         let config_changed = self.version() != last.version();
         let members_changed = members != self.last_members || self.holders != last.holders;
@@ -357,13 +322,14 @@
     }
 
     /// Combines the registry with what order givers know; returns whether anything changed.
-    fn merge_servers(&mut self, now: Instant) -> bool {
+    fn merge_servers(&mut self) -> bool {
         let before = self.servers_revision;
-        let is_present = |id: &Name| {
-            let server = self.registry.servers().get(id);
-            server.is_some_and(|server| !self.is_gone(server, now))
-        };
-        let gone: Vec<Name> = self.published.keys().filter(|id| !is_present(id)).cloned().collect();
+        let gone: Vec<Name> = self
+            .published
+            .keys()
+            .filter(|id| !self.registry.servers().contains_key(*id))
+            .cloned()
+            .collect();
         for id in gone {
             self.published.remove(&id);
             self.residency.remove(&id);
@@ -374,13 +340,8 @@
             self.removals_from = self.removals.pop_front().map_or(0, |(revision, _)| revision);
         }
         for server in self.registry.servers().values() {
-            if self.is_gone(server, now) {
-                continue;
-            }
-            let residency = self
-                .residency
-                .get(&server.id)
-                .filter(|known| known.incarnation == server.incarnation);
+            let residency =
+                self.residency.get(&server.id).filter(|known| known.incarnation == server.incarnation);
             let models = residency.map_or(&server.models, |known| &known.models);
             let is_busy = residency.map_or(server.is_busy, |known| known.is_busy);
             let is_same = self.published.get(&server.id).is_some_and(|(_, known)| {
--- a/savoryport/src/node/hub.rs
+++ b/savoryport/src/node/hub.rs
@@ -132,8 +132,9 @@
 
     fn prompts_since(&self, position: u64, vm: &str) -> (u64, Vec<PromptRecord>) {
         let state = self.lock();
-        let news =
-            state.prompts.iter().filter(|(number, from, _)| *number > position && **from != *vm);
+        let news = state.prompts.iter().filter(|(number, from, _)| {
+            *number > position && **from != *vm
+        });
         (state.prompt_count, news.map(|(_, _, record)| record.clone()).collect())
     }
 }
@@ -201,12 +202,10 @@
             servers: Vec::new(),
             removed: Vec::new(),
             members: None,
-            gone: cx.fleet.read(|state| state.gone(now)),
             loads: loads.into_iter().collect(),
             prompts,
         };
         cx.fleet.update(|state| {
-            state.merge_gone(&req.gone, now);
             if req.role == Role::Follower {
                 if req.is_leaving {
                     state.remove_member(&req.member.vm);
@@ -243,10 +242,9 @@
     let Some(deployment) = view.deployment() else { return };
     let mut boards = cx.boards.lock();
     for PromptRecord { server, incarnation, keys } in prompts {
-        let service = view
-            .servers
-            .get(server)
-            .and_then(|known| deployment.services.get(&known.service)?.engine.as_ref());
+        let service = view.servers.get(server).and_then(|known| {
+            deployment.services.get(&known.service)?.engine.as_ref()
+        });
         if let Some(class) = service {
             boards.prefixes.record(server, *incarnation, keys, class.cache_tokens, now);
         }
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -85,8 +85,6 @@
     pub work_ms: Vec<(Name, f64)>,
     /// Copies in use.
     pub copies: Vec<CopyUse>,
-    /// Servers at whose address nobody listened, with the incarnations that are gone.
-    pub gone: Vec<(Name, u64)>,
     /// Prompts sent since the last call.
     pub prompts: Vec<PromptRecord>,
 }
@@ -108,8 +106,6 @@
     pub members: Option<(Vec<Member>, Vec<(Name, DutyHolder)>)>,
     /// What all others have under way by server.
     pub loads: Vec<(Name, ServerLoad)>,
-    /// Servers that others found gone.
-    pub gone: Vec<(Name, u64)>,
     /// Prompts that others sent.
     pub prompts: Vec<PromptRecord>,
 }
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -100,12 +100,12 @@
         let connection = cx.peers.get(holder.peers).await?;
         connection.sync(req, FOLLOW_TIMEOUT).await
     };
-    let timed_out = || PeerError { address: holder.peers, problem: "no answer in time".to_owned() };
+    let timed_out =
+        || PeerError { address: holder.peers, problem: "no answer in time".to_owned() };
     tokio::time::timeout(FOLLOW_TIMEOUT, exchange).await.unwrap_or_else(|_| Err(timed_out()))
 }
 
 fn request(cx: &NodeContext, following: &Following) -> SyncRequest {
-    let gone = cx.fleet.read(|state| state.gone(cx.now()));
     let mut boards = cx.boards.lock();
     SyncRequest {
         member: cx.member.clone(),
@@ -116,7 +116,6 @@
         work_ms: boards.work_ms.drain().collect(),
         copies: boards.copies_in_use(),
         prompts: std::mem::take(&mut boards.prompts),
-        gone,
     }
 }
 
@@ -130,7 +129,6 @@
     cx.boards.lock().loads.set_others(reply.loads.iter().cloned().collect());
     note_prompts(cx, &reply.prompts, now);
     cx.fleet.update(|state| {
-        state.merge_gone(&reply.gone, now);
         if takes_servers {
             state.apply_servers(&reply);
         }
@@ -242,7 +240,6 @@
         work_ms: Vec::new(),
         copies: cx.copies_in_domain(domain),
         prompts: Vec::new(),
-        gone: cx.fleet.read(|state| state.gone(now)),
     };
     let exchange = async {
         let connection = cx.peers.get(holder.peers).await?;
@@ -267,7 +264,6 @@
             };
             state.set_residency(&server.id, residency);
         }
-        state.merge_gone(&reply.gone, cx.now());
         state.confirm_members(Some(domain), cx.now());
         if let Some((members, _)) = &reply.members {
             state.set_domain_members(domain, members.clone(), cx.now());
--- a/savoryport_platform/src/connection.rs
+++ b/savoryport_platform/src/connection.rs
@@ -5,7 +5,6 @@
 //! repeats, and a connection is either open before the request is handed over or was never used.
 
 use std::collections::HashMap;
-use std::io;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -41,12 +40,6 @@
         /// The operating system's words.
         problem: String,
     },
-    /// Nobody listens at the address: the process that did is gone.
-    #[error("nobody listens at {address}")]
-    Refused {
-        /// The server's address.
-        address: Name,
-    },
     /// The connection broke after the request was handed over.
     #[error("connection to {address} broke: {problem}")]
     Broken {
@@ -119,10 +112,7 @@
             SendError::NotConnected { address, problem }
         };
         match tokio::time::timeout(timeout, open(address)).await {
-            Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused => {
-                Err(SendError::Refused { address: address.clone() })
-            }
-            Ok(opened) => opened.map_err(|err| not_connected(err.to_string())),
+            Ok(opened) => opened.map_err(not_connected),
             Err(_) => Err(not_connected(format!("no connection within {timeout:?}"))),
         }
     }
@@ -187,13 +177,14 @@
     }
 }
 
-async fn open(address: &Name) -> io::Result<Connection> {
-    let stream = TcpStream::connect(&**address).await?;
-    stream.set_nodelay(true)?;
+async fn open(address: &Name) -> Result<Connection, String> {
+    let stream = TcpStream::connect(&**address).await.map_err(|err| err.to_string())?;
+    stream.set_nodelay(true).map_err(|err| err.to_string())?;
     let unacknowledged_ms = USER_TIMEOUT.as_millis() as u32;
-    rustix::net::sockopt::set_tcp_user_timeout(&stream, unacknowledged_ms)?;
+    rustix::net::sockopt::set_tcp_user_timeout(&stream, unacknowledged_ms)
+        .map_err(|err| err.to_string())?;
     let (sender, driver) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        http1::handshake(TokioIo::new(stream)).await.map_err(|err| err.to_string())?;
     // An error of the driver also reaches the request that is under way.
     let driver = tokio::spawn(async { drop(driver.await) });
     Ok(Connection { address: address.clone(), sender, _driver: AbortOnDropHandle::new(driver) })
