--- a/savoryport/src/node/desk.rs
+++ b/savoryport/src/node/desk.rs
@@ -106,9 +106,8 @@
         adapter: &Name,
     ) -> WishReply {
         let domain = cx.fleet.view().servers.get(server).map(|known| known.failure_domain.clone());
-        let desk = domain.and_then(|domain| {
-            self.0.lock().expect("no holder panics").get(&domain).cloned()
-        });
+        let desk = domain
+            .and_then(|domain| self.0.lock().expect("no holder panics").get(&domain).cloned());
         let Some(desk) = desk.filter(|desk| desk.may_order(cx).is_some()) else {
             return WishReply::Unavailable;
         };
@@ -345,9 +344,8 @@
                     }
                 }
                 let in_use = ledger.requests_by_model();
-                let is_open = moving.is_none()
-                    && ledger.expected_orders().is_some()
-                    && !ledger.is_busy(now);
+                let is_open =
+                    moving.is_none() && ledger.expected_orders().is_some() && !ledger.is_busy(now);
                 Some(PlacementServer {
                     server,
                     models,
@@ -372,7 +370,9 @@
     }
 
     fn note(&mut self, chosen: &Move, now: Instant) {
-        if counts_as_load(chosen.source) && let Some(allowance) = &mut self.allowance {
+        if counts_as_load(chosen.source)
+            && let Some(allowance) = &mut self.allowance
+        {
             allowance.begin(now);
         }
         let loaded = self.loaded_at.entry(chosen.server.clone()).or_default();
--- a/savoryport/src/node/directory.rs
+++ b/savoryport/src/node/directory.rs
@@ -98,9 +98,10 @@
     own: Option<SocketAddr>,
     cx: &NodeContext,
 ) -> Vec<SocketAddr> {
-    let members = view.members.iter().filter(|member| {
-        own.is_some() || member.callers != cx.settings.callers_listen
-    });
+    let members = view
+        .members
+        .iter()
+        .filter(|member| own.is_some() || member.callers != cx.settings.callers_listen);
     let members: Vec<_> = members.collect();
     let near = |matches: &dyn Fn(&str) -> bool| -> Vec<SocketAddr> {
         let matching = members.iter().filter(|member| matches(&member.failure_domain));
--- a/savoryport/src/node/dispatch.rs
+++ b/savoryport/src/node/dispatch.rs
@@ -65,8 +65,15 @@
         let candidates = self.candidates(&view);
         let mut boards = self.cx.boards.lock();
         let demanded = self.demanded();
-        let prefill = choose(candidates.iter().map(|(candidate, _)| *candidate), &demanded, &boards.selection(self.arrived))
-            .map_or_else(|| boards.speeds.prefill_ms(&asked.model, asked.prompt_tokens), |choice| f64::from(choice.prefill_ms));
+        let prefill = choose(
+            candidates.iter().map(|(candidate, _)| *candidate),
+            &demanded,
+            &boards.selection(self.arrived),
+        )
+        .map_or_else(
+            || boards.speeds.prefill_ms(&asked.model, asked.prompt_tokens),
+            |choice| f64::from(choice.prefill_ms),
+        );
         let work = prefill + MS_PER_OUTPUT_TOKEN * f64::from(asked.output_tokens);
         *boards.work_ms.entry(asked.model.clone()).or_default() += work;
     }
@@ -189,9 +196,8 @@
         let boards = self.cx.boards.lock();
         let (own, health) = (boards.loads.own(), &boards.health);
         let is_denied = |server: &BackendServer| {
-            copy.as_ref().is_some_and(|copy| {
-                health.is_denied(&server.id, copy, server.incarnation, now)
-            })
+            copy.as_ref()
+                .is_some_and(|copy| health.is_denied(&server.id, copy, server.incarnation, now))
         };
         self.ready(view)
             .filter(|server| !self.tried.contains(&server.id) && !self.avoided.contains(&server.id))
@@ -283,11 +289,7 @@
 
 /// Returns how many orders bring the adapter to the server, and nothing where the model is not there
 /// or the server takes no orders.
-fn adapter_orders(
-    server: &BackendServer,
-    asked: Option<&Generation>,
-    places: usize,
-) -> Option<u8> {
+fn adapter_orders(server: &BackendServer, asked: Option<&Generation>, places: usize) -> Option<u8> {
     let Some(asked) = asked else { return Some(0) };
     if !server.holds(&asked.model) {
         return None;
--- a/savoryport/src/node/duty.rs
+++ b/savoryport/src/node/duty.rs
@@ -97,8 +97,7 @@
             Ok(lease) => lease,
             Err(err) => return log::warn!(err:% = err; "no lease for the duty"),
         };
-        let holder =
-            DutyHolder { vm: cx.settings.vm.clone(), peers: cx.settings.peers_listen() };
+        let holder = DutyHolder { vm: cx.settings.vm.clone(), peers: cx.settings.peers_listen() };
         let value = serde_json::to_vec(&holder).expect("plain fields serialize");
         let key = duty_key(domain);
         let transaction = Transaction {
--- a/savoryport/src/node/engine.rs
+++ b/savoryport/src/node/engine.rs
@@ -78,11 +78,7 @@
     /// Starts the task of an engine.
     pub fn start(cx: &Arc<NodeContext>, desk: &Arc<Desk>, server: &Name) -> Self {
         let (commands, rx) = mpsc::unbounded_channel();
-        let handle = Self {
-            commands,
-            ledger: Arc::default(),
-            moving: Arc::default(),
-        };
+        let handle = Self { commands, ledger: Arc::default(), moving: Arc::default() };
         let task = EngineTask {
             cx: cx.clone(),
             desk: desk.clone(),
@@ -244,7 +240,11 @@
     }
 
     /// Gives an order if this node may; returns the server's answer.
-    async fn give(&mut self, order: &Order, busy_for: Duration) -> Result<OrderAnswer, OrderObstacle> {
+    async fn give(
+        &mut self,
+        order: &Order,
+        busy_for: Duration,
+    ) -> Result<OrderAnswer, OrderObstacle> {
         let (server, class) = self.target().ok_or(OrderObstacle::Unknown)?;
         let token = self.desk.may_order(&self.cx).ok_or(OrderObstacle::Unknown)?;
         let expected = {
--- a/savoryport/src/node/fleet.rs
+++ b/savoryport/src/node/fleet.rs
@@ -340,8 +340,10 @@
             self.removals_from = self.removals.pop_front().map_or(0, |(revision, _)| revision);
         }
         for server in self.registry.servers().values() {
-            let residency =
-                self.residency.get(&server.id).filter(|known| known.incarnation == server.incarnation);
+            let residency = self
+                .residency
+                .get(&server.id)
+                .filter(|known| known.incarnation == server.incarnation);
             let models = residency.map_or(&server.models, |known| &known.models);
             let is_busy = residency.map_or(server.is_busy, |known| known.is_busy);
             let is_same = self.published.get(&server.id).is_some_and(|(_, known)| {
--- a/savoryport/src/node/flight.rs
+++ b/savoryport/src/node/flight.rs
@@ -32,8 +32,8 @@
         let now = cx.now();
         let server = &picked.server;
         let asked = relay.head.generation.as_ref();
-        let copy = asked
-            .map(|asked| (server.id.clone(), asked.model.clone(), asked.adapter.clone()));
+        let copy =
+            asked.map(|asked| (server.id.clone(), asked.model.clone(), asked.adapter.clone()));
         let class = relay.deployment.services.get(&relay.service);
         let cache_tokens = class.and_then(|service| Some(service.engine.as_ref()?.cache_tokens));
         let mut boards = cx.boards.lock();
--- a/savoryport/src/node/hub.rs
+++ b/savoryport/src/node/hub.rs
@@ -132,9 +132,8 @@
 
     fn prompts_since(&self, position: u64, vm: &str) -> (u64, Vec<PromptRecord>) {
         let state = self.lock();
-        let news = state.prompts.iter().filter(|(number, from, _)| {
-            *number > position && **from != *vm
-        });
+        let news =
+            state.prompts.iter().filter(|(number, from, _)| *number > position && **from != *vm);
         (state.prompt_count, news.map(|(_, _, record)| record.clone()).collect())
     }
 }
@@ -242,9 +241,10 @@
     let Some(deployment) = view.deployment() else { return };
     let mut boards = cx.boards.lock();
     for PromptRecord { server, incarnation, keys } in prompts {
-        let service = view.servers.get(server).and_then(|known| {
-            deployment.services.get(&known.service)?.engine.as_ref()
-        });
+        let service = view
+            .servers
+            .get(server)
+            .and_then(|known| deployment.services.get(&known.service)?.engine.as_ref());
         if let Some(class) = service {
             boards.prefixes.record(server, *incarnation, keys, class.cache_tokens, now);
         }
--- a/savoryport/src/node/metrics.rs
+++ b/savoryport/src/node/metrics.rs
@@ -132,7 +132,11 @@
         registry.register("model_moves", "Moves of models decided", self.loads.clone());
         registry.register("engine_reports", "Reports read from engines", self.reports.clone());
         registry.register("store_calls", "Calls of the store", self.store_calls.clone());
-        registry.register("store_failures", "Failed calls of the store", self.store_failures.clone());
+        registry.register(
+            "store_failures",
+            "Failed calls of the store",
+            self.store_failures.clone(),
+        );
         registry
     }
 }
--- a/savoryport/src/node/reader.rs
+++ b/savoryport/src/node/reader.rs
@@ -110,10 +110,7 @@
     grown.min(MAX_PAUSE).mul_f64(0.5 + draw)
 }
 
-async fn read_once(
-    cx: &NodeContext,
-    position: Option<Revision>,
-) -> Result<Revision, StoreError> {
+async fn read_once(cx: &NodeContext, position: Option<Revision>) -> Result<Revision, StoreError> {
     cx.metrics.store_calls.inc();
     let Some(after) = position else {
         let listing = cx.store.list("").await?;
--- a/savoryport/src/node/relay.rs
+++ b/savoryport/src/node/relay.rs
@@ -126,8 +126,7 @@
     ) -> Result<Self, Refusal> {
         let view = cx.fleet.view();
         let wait = Duration::from_millis(cx.settings.store_poll_ms);
-        let deployment =
-            view.deployment().cloned().ok_or(Refusal::retry(Cause::NoConfig, wait))?;
+        let deployment = view.deployment().cloned().ok_or(Refusal::retry(Cause::NoConfig, wait))?;
         let (parts, body) = req.into_parts();
         let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
         let route = find_route(&deployment, host, parts.uri.path())?.clone();
@@ -321,11 +320,10 @@
         };
         let address: Name = server.address.to_string().into();
         let connect = Duration::from_millis(self.cx.settings.connect_timeout_ms).min(self.left());
-        let mut connection =
-            match self.cx.pool.connect_within(&address, max_idle, connect).await {
-                Ok(connection) => connection,
-                Err(err) => return self.not_connected(picked, &err),
-            };
+        let mut connection = match self.cx.pool.connect_within(&address, max_idle, connect).await {
+            Ok(connection) => connection,
+            Err(err) => return self.not_connected(picked, &err),
+        };
         let flight = Flight::begin(self, picked);
         self.tried.push(server.id.clone());
         let sent_at = self.cx.now();
@@ -406,8 +404,8 @@
         answer: impl Future<Output = T>,
     ) -> Option<T> {
         let mut answer = std::pin::pin!(answer);
-        let can_go_elsewhere = self.route.kind.is_repeatable()
-            && (self.tried.len() as u32) < self.route.max_attempts;
+        let can_go_elsewhere =
+            self.route.kind.is_repeatable() && (self.tried.len() as u32) < self.route.max_attempts;
         if !can_go_elsewhere {
             return tokio::time::timeout(self.left(), answer).await.ok();
         }
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -100,8 +100,7 @@
         let connection = cx.peers.get(holder.peers).await?;
         connection.sync(req, FOLLOW_TIMEOUT).await
     };
-    let timed_out =
-        || PeerError { address: holder.peers, problem: "no answer in time".to_owned() };
+    let timed_out = || PeerError { address: holder.peers, problem: "no answer in time".to_owned() };
     tokio::time::timeout(FOLLOW_TIMEOUT, exchange).await.unwrap_or_else(|_| Err(timed_out()))
 }
 
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -32,7 +33,8 @@
     pub name: String,
     pub callers: String,
     pub directory: String,
-    settings: String,
+    settings: Value,
+    settings_file: PathBuf,
     process: Option<Child>,
     pub lines: Arc<Mutex<Vec<String>>>,
     /// Stands between the node and the store.
@@ -89,7 +91,9 @@
             site.add_node(&format!("vm-{number}"));
         }
         site.wait("every node is ready", |site| site.nodes.iter().all(SiteNode::is_ready));
-        site.wait("somebody holds the duty", |site| !site.store.keys("savoryport/duty/").is_empty());
+        site.wait("somebody holds the duty", |site| {
+            !site.store.keys("savoryport/duty/").is_empty()
+        });
         site.wait("the servers are known", |site| site.get(0, "warm", Ask::Lookup).status == 200);
         site
     }
@@ -177,12 +181,12 @@
             "retry_extra": 60.0, "log_level": "info",
         });
         let file = self._dir.path().join(format!("{name}.json"));
-        std::fs::write(&file, settings.to_string()).expect("the directory is writable");
         let mut node = SiteNode {
             name: name.to_owned(),
             callers,
             directory,
-            settings: file.to_string_lossy().into_owned(),
+            settings,
+            settings_file: file,
             process: None,
             lines: Arc::default(),
             store_path,
@@ -237,10 +241,13 @@
 }
 
 impl SiteNode {
-    /// Starts the process.
+    /// Starts the process. Only the first start is one of the whole system.
     pub fn start(&mut self) {
+        std::fs::write(&self.settings_file, self.settings.to_string()).expect("a writable place");
+        self.settings["first_start"] = false.into();
         let mut child = Command::new(env!("CARGO_BIN_EXE_savoryport-node"))
-            .args(["--settings", &self.settings])
+            .arg("--settings")
+            .arg(&self.settings_file)
             .stdout(Stdio::piped())
             .stderr(Stdio::inherit())
             .spawn()
@@ -289,46 +296,8 @@
     }
 
     /// Asks the node as a caller.
-    pub fn ask(&self, id: &str, ask: Ask) -> CallerAnswer {
-        let agent = agent(Duration::from_secs(8));
-        let url = |path: &str| format!("http://{}/{path}/{id}", self.callers);
-        let sent = match ask {
-            Ask::Lookup => agent
-                .get(url("lookup"))
-                .header("Host", "site.example")
-                .header("X-Attempt-Id", id)
-                .header("X-Deadline-Ms", "4000")
-                .call(),
-            Ask::Commit => agent
-                .post(url("commit"))
-                .header("Host", "site.example")
-                .header("X-Attempt-Id", id)
-                .header("X-Deadline-Ms", "4000")
-                .send("pay"),
-            Ask::Draft(model) => agent
-                .post(url("draft"))
-                .header("Host", "site.example")
-                .header("X-Attempt-Id", id)
-                .header("X-Deadline-Ms", "8000")
-                .header("X-Model", model)
-                .header("X-Token-Counts", "100,8")
-                .header("X-Prompt-Prefix", "5c1e07a2:60,91bd3f06:40")
-                .header("X-Hold", "not the caller's to set")
-                .send("draft"),
-        };
-        let Ok(mut res) = sent else {
-            return CallerAnswer { status: 0, proof: None, retry_after: None, body: None };
-        };
-        let header = |name: &str| {
-            res.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
-        };
-        let (proof, retry_after) = (header("x-server-stamp"), header("retry-after"));
-        CallerAnswer {
-            status: res.status().as_u16(),
-            proof,
-            retry_after,
-            body: res.body_mut().read_to_string().ok(),
-        }
+    pub fn ask(&self, id: &str, kind: Ask) -> CallerAnswer {
+        ask(&self.callers, id, kind)
     }
 }
 
@@ -341,6 +310,49 @@
     }
 }
 
+/// Asks a node as a caller.
+pub fn ask(address: &str, id: &str, ask: Ask) -> CallerAnswer {
+    let agent = agent(Duration::from_secs(8));
+    let url = |path: &str| format!("http://{}/{path}/{id}", address);
+    let sent = match ask {
+        Ask::Lookup => agent
+            .get(url("lookup"))
+            .header("Host", "site.example")
+            .header("X-Attempt-Id", id)
+            .header("X-Deadline-Ms", "4000")
+            .call(),
+        Ask::Commit => agent
+            .post(url("commit"))
+            .header("Host", "site.example")
+            .header("X-Attempt-Id", id)
+            .header("X-Deadline-Ms", "4000")
+            .send("pay"),
+        Ask::Draft(model) => agent
+            .post(url("draft"))
+            .header("Host", "site.example")
+            .header("X-Attempt-Id", id)
+            .header("X-Deadline-Ms", "8000")
+            .header("X-Model", model)
+            .header("X-Token-Counts", "100,8")
+            .header("X-Prompt-Prefix", "5c1e07a2:60,91bd3f06:40")
+            .header("X-Hold", "not the caller's to set")
+            .send("draft"),
+    };
+    let Ok(mut res) = sent else {
+        return CallerAnswer { status: 0, proof: None, retry_after: None, body: None };
+    };
+    let header = |name: &str| {
+        res.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+    };
+    let (proof, retry_after) = (header("x-server-stamp"), header("retry-after"));
+    CallerAnswer {
+        status: res.status().as_u16(),
+        proof,
+        retry_after,
+        body: res.body_mut().read_to_string().ok(),
+    }
+}
+
 fn agent(timeout: Duration) -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -158,11 +158,7 @@
 }
 
 /// Returns what one more copy of the model is worth, 0 where none is needed.
-fn copy_value(
-    input: &PlacementInput<'_>,
-    copies: &BTreeMap<Name, usize>,
-    model: &Name,
-) -> f64 {
+fn copy_value(input: &PlacementInput<'_>, copies: &BTreeMap<Name, usize>, model: &Name) -> f64 {
     let demand = input.demand.get(model).copied().unwrap_or(0.0);
     let here = copies.get(model).copied().unwrap_or(0);
     let anywhere = here > 0 || input.holders.get(model).is_some_and(|held| !held.is_empty());
@@ -203,9 +199,8 @@
         }
         let seconds = load_time(spec, source).as_secs_f64();
         let blocked = f64::from(server.adapter_requests) * BLOCKED_ADAPTER_COST;
-        let cost = lost
-            + seconds * (LOAD_SECOND_COST + blocked)
-            + busy_share(input, copies, server);
+        let cost =
+            lost + seconds * (LOAD_SECOND_COST + blocked) + busy_share(input, copies, server);
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             let (id, load) = (server.server.id.clone(), model.clone());
             best = Some((cost, Move { server: id, unload, load, source, value }));
--- a/savoryport_core/src/node/selection.rs
+++ b/savoryport_core/src/node/selection.rs
@@ -187,12 +187,14 @@
     let slowness = cx.speeds.slowness(&server.id);
     let (own_ms, wait_ms) = match demanded.generation {
         Some(generation) => {
-            let cached =
-                cx.prefixes.cached_tokens(&server.id, server.incarnation, demanded.keys);
+            let cached = cx.prefixes.cached_tokens(&server.id, server.incarnation, demanded.keys);
             let uncached = generation.prompt_tokens.saturating_sub(cached);
             let own = cx.speeds.prefill_ms(&generation.model, uncached);
             let ahead = f64::from(load.ahead_ms(demanded.rank));
-            (own, ahead + MS_PER_RUNNING * f64::from(load.running) + full_wait(server, load.running))
+            (
+                own,
+                ahead + MS_PER_RUNNING * f64::from(load.running) + full_wait(server, load.running),
+            )
         }
         None => {
             let own = cx.speeds.service_ms(demanded.service);
--- a/savoryport_core/tests/node_decisions.rs
+++ b/savoryport_core/tests/node_decisions.rs
@@ -217,7 +217,8 @@
     let bound = RetryBound { ratio: 0.2, extra: 58.0 };
     let service: Name = "drafts".into();
     let nodes = 9;
-    let mut budgets: Vec<RetryBudget> = (0..nodes).map(|_| RetryBudget::new(bound, nodes)).collect();
+    let mut budgets: Vec<RetryBudget> =
+        (0..nodes).map(|_| RetryBudget::new(bound, nodes)).collect();
     // Every request fails and every node repeats as often as it may, for many windows on end.
     for _ in 0..50 {
         let (mut requests, mut repeats) = (0.0, 0.0);
--- a/savoryport_core/tests/order_search.rs
+++ b/savoryport_core/tests/order_search.rs
@@ -116,7 +116,8 @@
                 ledgers[holder].doubt();
             }
             3 if !late.is_empty() => {
-                let (order, expected, incarnation) = late.swap_remove(rng.random_range(0..late.len()));
+                let (order, expected, incarnation) =
+                    late.swap_remove(rng.random_range(0..late.len()));
                 // An order names the server that it is for, so that another start refuses it.
                 if incarnation == server.incarnation {
                     let expected = if precondition { expected } else { server.accepted };
--- a/savoryport_standin/src/metadata.rs
+++ b/savoryport_standin/src/metadata.rs
@@ -239,8 +239,10 @@
     let after = query.get("after").copied().unwrap_or_default();
     let state = shared.lock();
     let below = state.keys.iter().filter(|(key, _)| key.starts_with(prefix));
-    let mut rest: Vec<Value> =
-        below.filter(|(key, _)| key.as_str() > after).map(|(key, stored)| item(key, stored)).collect();
+    let mut rest: Vec<Value> = below
+        .filter(|(key, _)| key.as_str() > after)
+        .map(|(key, stored)| item(key, stored))
+        .collect();
     let has_more = rest.len() > PAGE;
     rest.truncate(PAGE);
     (200, json!({ "items": rest, "hasMore": has_more, "at": state.revision }))
