--- /dev/null
+++ b/savoryport/tests/node_parts.rs
@@ -0,0 +1,75 @@
+//! Parts of a node by themselves: the cutter of events, settings, and beliefs that followers take.
+
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use savoryport::node::events::EventCutter;
+use savoryport::node::fleet::Fleet;
+use savoryport::node::settings::{NodeSettings, NodeSettingsError};
+use savoryport::node::view::Member;
+
+fn member(vm: &str) -> Member {
+    Member { vm: vm.into(), failure_domain: "east".into(), callers: ([127, 0, 0, 1], 7_100).into() }
+}
+
+#[test]
+fn events_are_cut_at_blank_lines_however_their_bytes_arrive() {
+    let stream = "id: 1\ndata: a\n\nversion: 2\nid: 2\r\ndata: b\r\n\r\ndata: no id\n\nid: 4\nda";
+    for size in 1..stream.len() {
+        let mut cutter = EventCutter::default();
+        let mut seen = Vec::new();
+        for piece in stream.as_bytes().chunks(size) {
+            assert!(cutter.push(piece));
+            while let Some(event) = cutter.next_event() {
+                seen.push(event);
+            }
+        }
+        let ids: Vec<_> = seen.iter().map(|event| event.id).collect();
+        assert_eq!(ids, [Some(1), Some(2), None], "pieces of {size}");
+        assert!(cutter.has_rest());
+        let mut bytes: Vec<u8> = seen.iter().flat_map(|event| event.bytes.to_vec()).collect();
+        bytes.extend(cutter.take_rest());
+        assert_eq!(bytes, stream.as_bytes());
+    }
+}
+
+#[test]
+fn an_endless_event_is_not_kept() {
+    let mut cutter = EventCutter::default();
+    let piece = vec![b'x'; 64 * 1024];
+    assert!((0..32).any(|_| !cutter.push(&piece)));
+}
+
+#[test]
+fn settings_name_every_mistake_at_once_and_warn_of_unknown_keys() {
+    let good = NodeSettings::parse(r#"{"vm":"a","new_field":1}"#).expect("settings");
+    assert_eq!(good.unknown, ["new_field"]);
+    let bad = r#"{"callers_listen":"nowhere","sync_period_ms":0,"vm":"","memory_mb":"much"}"#;
+    assert_matches!(NodeSettings::parse(bad), Err(NodeSettingsError::Fields(problems)) => {
+        for field in ["callers_listen", "sync_period_ms", "vm", "memory_mb"] {
+            assert!(problems.iter().any(|problem| problem.starts_with(field)), "{field}");
+        }
+    });
+    assert_matches!(NodeSettings::parse("[]"), Err(NodeSettingsError::Malformed(_)));
+}
+
+#[test]
+fn a_member_that_nobody_vouches_for_is_not_named_any_more() {
+    let (fleet, now) = (Fleet::new(member("own")), Instant::now());
+    fleet.update(|state| state.set_members(vec![member("own"), member("gone")], now));
+    assert_eq!(fleet.view().members.len(), 2);
+    fleet.update(|state| state.expire_members(now + Duration::from_secs(2)));
+    assert_eq!(fleet.view().members.len(), 2);
+    fleet.update(|state| state.expire_members(now + Duration::from_secs(3)));
+    assert_eq!(fleet.view().members, [member("own")]);
+}
+
+#[test]
+fn a_follower_that_falls_silent_is_not_named_any_more() {
+    let (fleet, now) = (Fleet::new(member("own")), Instant::now());
+    fleet.update(|state| state.note_member(member("follower"), now));
+    fleet.update(|state| state.expire_members(now + Duration::from_millis(400)));
+    assert_eq!(fleet.view().members.len(), 2);
+    fleet.update(|state| state.expire_members(now + Duration::from_millis(600)));
+    assert_eq!(fleet.view().members.len(), 1);
+}
