--- a/extra/completions/savoryport.bash
+++ b/extra/completions/savoryport.bash
@@ -10,3 +10,13 @@
     esac
 }
 complete -F _savoryport savoryport
+
+# Bash completion for savoryport-node.
+_savoryport_node() {
+    local word=${COMP_WORDS[COMP_CWORD]} previous=${COMP_WORDS[COMP_CWORD-1]}
+    case $previous in
+        --settings) COMPREPLY=($(compgen -f -- "$word")) ;;
+        *) COMPREPLY=($(compgen -W "--settings --help --version" -- "$word")) ;;
+    esac
+}
+complete -F _savoryport_node savoryport-node
