Split the relay: intake, verdict, and a stream that takes its request along

A newcomer had to read 600 lines at once, and a method copied the request field by field only to move it into the task that forwards its stream. No decision changes.

--- a/savoryport/src/node/desk.rs
+++ b/savoryport/src/node/desk.rs
@@ -19,7 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::context::NodeContext;
-use super::engine::{Command, EngineHandle, counts_as_load};
+use super::engine::{Command, EngineHandle};
 use super::rpc::WishReply;
 use super::view::View;
 
@@ -254,8 +254,9 @@
     let holders = holders_by_model(view, service);
     let missing = planner.missing(view, service, class, &desk.domain, &holders, now);
     let demand = planner.demand_with_wishes();
+    let needs = Needs { class, servers, holders: &holders, missing: &missing, demand: &demand };
     for _ in 0..MAX_MOVES_PER_LOOK {
-        let chosen = planner.choose(cx, desk, class, servers, &holders, &missing, &demand);
+        let chosen = planner.choose(cx, desk, &needs);
         let Some(chosen) = chosen else { return };
         planner.note(&chosen, now);
         cx.metrics.loads.inc();
@@ -269,6 +270,16 @@
     }
 }
 
+/// What the servers of a domain hold and are asked for at one look.
+#[derive(Debug, Clone, Copy)]
+struct Needs<'a> {
+    class: &'a EngineClass,
+    servers: &'a [Arc<BackendServer>],
+    holders: &'a HashMap<Name, Vec<Name>>,
+    missing: &'a BTreeMap<Name, Missing>,
+    demand: &'a HashMap<Name, f64>,
+}
+
 impl Planner {
     /// Returns the models that nobody holds and this domain is to bring back.
     fn missing(
@@ -306,17 +317,8 @@
         demand
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn choose(
-        &mut self,
-        cx: &NodeContext,
-        desk: &Desk,
-        class: &EngineClass,
-        servers: &[Arc<BackendServer>],
-        holders: &HashMap<Name, Vec<Name>>,
-        missing: &BTreeMap<Name, Missing>,
-        demand: &HashMap<Name, f64>,
-    ) -> Option<Move> {
+    fn choose(&mut self, cx: &NodeContext, desk: &Desk, needs: &Needs<'_>) -> Option<Move> {
+        let Needs { class, servers, holders, missing, demand } = *needs;
         let now = cx.now();
         let window = Duration::from_secs_f64(cx.settings.load_window_s);
         let domains = cx.settings.failure_domains.len();
@@ -370,7 +372,7 @@
     }
 
     fn note(&mut self, chosen: &Move, now: Instant) {
-        if counts_as_load(chosen.source)
+        if chosen.source == WeightSource::Store
             && let Some(allowance) = &mut self.allowance
         {
             allowance.begin(now);
--- a/savoryport/src/node/engine.rs
+++ b/savoryport/src/node/engine.rs
@@ -8,7 +8,7 @@
 use savoryport_core::Name;
 use savoryport_core::node::deployment::EngineClass;
 use savoryport_core::node::orders::{EngineLedger, Order, OrderAnswer, OrderObstacle};
-use savoryport_core::node::placement::{Move, WeightSource, load_time};
+use savoryport_core::node::placement::{Move, load_time};
 use savoryport_core::node::registry::{BackendServer, ResidentModel};
 use tokio::sync::{mpsc, oneshot};
 
@@ -454,8 +454,3 @@
         cx.fleet.update(|state| state.add_adapter(server, model, adapter));
     }
 }
-
-/// Returns whether a load counts towards the weight store's rate.
-pub fn counts_as_load(source: WeightSource) -> bool {
-    source == WeightSource::Store
-}
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! A node: one process a VM, which takes callers' requests and any duty that needs a holder.
 //!
-//! A request's way leads through `callers`, `relay`, `dispatch` and `stream`; `reader`, `sync` and
+//! A request's way leads through `callers`, `intake`, `relay`, `dispatch`, `verdict` and
+//! `stream`; `reader`, `sync` and
 //! `duty` keep the node's beliefs and duties; `docs/DESIGN.md` says why.
 
 mod answer;
@@ -17,6 +18,7 @@
 pub mod fleet;
 mod flight;
 mod hub;
+mod intake;
 mod metrics;
 mod peers;
 mod reader;
@@ -26,6 +28,7 @@
 mod status;
 mod stream;
 mod sync;
+mod verdict;
 pub mod view;
 
 use std::io;
--- a/savoryport/src/node/relay.rs
+++ b/savoryport/src/node/relay.rs
@@ -4,14 +4,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::header::CONTENT_LENGTH;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use savoryport_adapter::callers::{request_head, strip_headers};
 use savoryport_adapter::servers::{
-    AnswerKind, Dispatch, answer_kind, keep_alive, promises_not_run, set_dispatch,
-    strip_connection_headers,
+    AnswerKind, Dispatch, answer_kind, promises_not_run, set_dispatch,
 };
 use savoryport_core::Name;
 use savoryport_core::node::deployment::{Deployment, RequestKind, Route};
@@ -45,12 +43,6 @@
 /// The share of the time left that a repeatable request waits for its first server.
 const LONG_PATIENCE_SHARE: f64 = 0.5;
 
-/// The rest of an answer that did not run is read for this long, to keep the connection.
-const REST_TIMEOUT: Duration = Duration::from_millis(50);
-
-/// The longest whole answer that is held in memory, in bytes.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-
 /// One request on its way.
 pub struct Relay {
     pub(super) cx: Arc<NodeContext>,
@@ -61,19 +53,19 @@
     pub(super) keys: PrefixKeys,
     pub(super) arrived: Instant,
     pub(super) ends: Instant,
-    method: Method,
-    target: String,
-    headers: HeaderMap,
-    body: Bytes,
+    pub(super) method: Method,
+    pub(super) target: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
     /// Servers that the request was sent to.
     pub(super) tried: Vec<Name>,
     /// Servers that could not be reached or refused, and are not asked again.
     pub(super) avoided: Vec<Name>,
-    unreachable: u32,
+    pub(super) unreachable: u32,
     /// Whether a server may have run the request.
-    in_doubt: bool,
+    pub(super) in_doubt: bool,
     /// A server's own failure, which is passed on if nothing better comes.
-    failure: Option<(StatusCode, HeaderMap, Bytes)>,
+    pub(super) failure: Option<(StatusCode, HeaderMap, Bytes)>,
     pub(super) last_server: Option<Name>,
     /// What was expected of the last server, for the log.
     pub(super) expected: Duration,
@@ -82,9 +74,11 @@
 }
 
 /// What came of sending the request to a server.
-enum Attempt {
+pub(super) enum Attempt {
     /// The caller's answer.
     Answer(Response<Body>),
+    /// A stream that has begun.
+    Stream(Box<Opened>, Picked),
     /// The next server may be tried.
     Next,
 }
@@ -119,54 +113,6 @@
 }
 
 impl Relay {
-    async fn begin(
-        cx: Arc<NodeContext>,
-        req: Request<Incoming>,
-        arrived: Instant,
-    ) -> Result<Self, Refusal> {
-        let view = cx.fleet.view();
-        let wait = Duration::from_millis(cx.settings.store_poll_ms);
-        let deployment = view.deployment().cloned().ok_or(Refusal::retry(Cause::NoConfig, wait))?;
-        let (parts, body) = req.into_parts();
-        let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-        let route = find_route(&deployment, host, parts.uri.path())?.clone();
-        let head = request_head(&parts.headers).map_err(|err| {
-            log::debug!(err:% = err; "head refused");
-            Refusal::of(Cause::BadHead)
-        })?;
-        let service = route.choose_service(cx.draw_u64()).cloned();
-        let service = service.ok_or(Refusal::of(Cause::NoRoute))?;
-        let deadline = head.deadline.unwrap_or(route.timeout);
-        let ends = arrived + deadline.min(route.timeout);
-        let body = read_body(body, &deployment, ends.saturating_duration_since(cx.now())).await?;
-        let mut headers = parts.headers;
-        strip_headers(&mut headers);
-        let keys = head.generation.as_ref().map(|asked| asked.prefix_keys()).unwrap_or_default();
-        let target = parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
-        Ok(Self {
-            cx,
-            deployment,
-            route,
-            service,
-            head,
-            keys,
-            arrived,
-            ends,
-            method: parts.method,
-            target,
-            headers,
-            body,
-            tried: Vec::new(),
-            avoided: Vec::new(),
-            unreachable: 0,
-            in_doubt: false,
-            failure: None,
-            last_server: None,
-            expected: Duration::ZERO,
-            first_token: None,
-        })
-    }
-
     async fn run(mut self) -> Response<Body> {
         self.note_work();
         loop {
@@ -176,6 +122,7 @@
             };
             match self.attempt(picked).await {
                 Attempt::Answer(answer) => return answer,
+                Attempt::Stream(opened, picked) => return stream::forward(self, *opened, picked),
                 Attempt::Next => {}
             }
             if let Some(cause) = self.obstacle_to_retry() {
@@ -261,20 +208,17 @@
 
     async fn attempt(&mut self, picked: Picked) -> Attempt {
         let (opened, kind) = match self.open(&picked, None).await {
-            Answered::Head(opened, kind) => (*opened, kind),
+            Answered::Head(opened, kind) => (opened, kind),
             Answered::Failed => return Attempt::Next,
         };
         match kind {
-            AnswerKind::Success if self.route.kind.is_stream() => {
-                let relay = self.take();
-                Attempt::Answer(stream::forward(relay, opened, picked))
-            }
-            AnswerKind::Success => self.whole_answer(opened, &picked).await,
+            AnswerKind::Success if self.route.kind.is_stream() => Attempt::Stream(opened, picked),
+            AnswerKind::Success => self.whole_answer(*opened, &picked).await,
             AnswerKind::NotRun => {
-                self.note_not_run(opened, &picked).await;
+                self.note_not_run(*opened, &picked).await;
                 Attempt::Next
             }
-            AnswerKind::Failure => self.server_failure(opened, &picked).await,
+            AnswerKind::Failure => self.server_failure(*opened, &picked).await,
             AnswerKind::Foreign => {
                 self.in_doubt = true;
                 self.note(&picked.server.id, ServerOutcome::Unreachable);
@@ -283,32 +227,6 @@
         }
     }
 
-    /// Moves the request out, for a task that goes on after the head was answered.
-    fn take(&mut self) -> Self {
-        Self {
-            cx: self.cx.clone(),
-            deployment: self.deployment.clone(),
-            route: self.route.clone(),
-            service: self.service.clone(),
-            head: self.head.clone(),
-            keys: self.keys.clone(),
-            arrived: self.arrived,
-            ends: self.ends,
-            method: self.method.clone(),
-            target: std::mem::take(&mut self.target),
-            headers: std::mem::take(&mut self.headers),
-            body: std::mem::take(&mut self.body),
-            tried: std::mem::take(&mut self.tried),
-            avoided: std::mem::take(&mut self.avoided),
-            unreachable: self.unreachable,
-            in_doubt: self.in_doubt,
-            failure: None,
-            last_server: self.last_server.clone(),
-            expected: self.expected,
-            first_token: None,
-        }
-    }
-
     /// Sends the request to a server and waits for the head of its answer.
     async fn open(&mut self, picked: &Picked, resume_after: Option<u64>) -> Answered {
         let server = &picked.server;
@@ -448,88 +366,6 @@
         req
     }
 
-    async fn whole_answer(&mut self, opened: Opened, picked: &Picked) -> Attempt {
-        let Opened { status, mut headers, body, connection, mut flight, .. } = opened;
-        match collect(body, self.left()).await {
-            Some(body) => {
-                flight.first_token();
-                self.note(&picked.server.id, ServerOutcome::Answered);
-                let took = self.cx.now() - flight.sent_at();
-                let server = &picked.server.id;
-                self.cx.boards.lock().speeds.note_service(server, &self.service, took);
-                self.cx.pool.keep(connection, keep_alive(&headers));
-                strip_connection_headers(&mut headers);
-                self.log_end("answered", status.as_u16(), None);
-                Attempt::Answer(pass_on(status, headers, body))
-            }
-            None => {
-                self.in_doubt = true;
-                self.note(&picked.server.id, ServerOutcome::Unreachable);
-                Attempt::Next
-            }
-        }
-    }
-
-    async fn note_not_run(&mut self, opened: Opened, picked: &Picked) {
-        let Opened { status, headers, body, connection, flight, .. } = opened;
-        drop(flight);
-        log::info!(
-            request = &*self.head.id, server = &*picked.server.id, status = status.as_u16(),
-            expected_ms = picked.expected.as_millis() as u64; "server refused"
-        );
-        self.avoided.push(picked.server.id.clone());
-        self.cx.metrics.not_run.inc();
-        self.learn_from_refusal(status, picked);
-        if collect(body, REST_TIMEOUT).await.is_some() {
-            self.cx.pool.keep(connection, keep_alive(&headers));
-        }
-    }
-
-    fn learn_from_refusal(&self, status: StatusCode, picked: &Picked) {
-        let (server, now) = (&picked.server, self.cx.now());
-        let mut boards = self.cx.boards.lock();
-        match (status, self.copy_name()) {
-            (StatusCode::MISDIRECTED_REQUEST, Some(copy)) => {
-                boards.health.note_denial(&server.id, copy, server.incarnation, now);
-            }
-            (StatusCode::SERVICE_UNAVAILABLE, _) => {
-                boards.health.note_full(&server.id, self.route.rank, now);
-            }
-            _ => {}
-        }
-    }
-
-    /// Returns the model, or the model and adapter, that the request asks for.
-    pub(super) fn copy_name(&self) -> Option<Name> {
-        let asked = self.head.generation.as_ref()?;
-        Some(match &asked.adapter {
-            Some(adapter) => format!("{}/{adapter}", asked.model).into(),
-            None => asked.model.clone(),
-        })
-    }
-
-    async fn server_failure(&mut self, opened: Opened, picked: &Picked) -> Attempt {
-        let Opened { status, mut headers, body, connection, flight, .. } = opened;
-        let body = collect(body, self.left()).await;
-        drop(flight);
-        self.in_doubt = true;
-        self.note(&picked.server.id, ServerOutcome::Failed);
-        let Some(body) = body else { return Attempt::Next };
-        self.cx.pool.keep(connection, keep_alive(&headers));
-        strip_connection_headers(&mut headers);
-        // A status that promises "not run" without the server's word for it would be a lie.
-        if promises_not_run(status) && !self.route.kind.is_repeatable() {
-            return Attempt::Next;
-        }
-        let goes_on = status.is_server_error() && self.route.kind.is_repeatable();
-        if goes_on {
-            self.failure = Some((status, headers, body));
-            return Attempt::Next;
-        }
-        self.log_end("failed", status.as_u16(), None);
-        Attempt::Answer(pass_on(status, headers, body))
-    }
-
     /// Notes that the last server sent something.
     pub(super) fn note_heard(&self) {
         if let Some(server) = &self.last_server {
@@ -543,31 +379,6 @@
     }
 }
 
-fn find_route<'a>(
-    deployment: &'a Deployment,
-    host: &str,
-    path: &str,
-) -> Result<&'a Route, Refusal> {
-    let bare = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    deployment
-        .route(host, path)
-        .or_else(|| deployment.route(bare, path))
-        .ok_or(Refusal::of(Cause::NoRoute))
-}
-
-async fn read_body(
-    body: Incoming,
-    deployment: &Deployment,
-    within: Duration,
-) -> Result<Bytes, Refusal> {
-    let limited = Limited::new(body, deployment.limits.body_bytes);
-    match tokio::time::timeout(within, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Refusal::of(Cause::BodyTooLong)),
-        Ok(Err(_)) | Err(_) => Err(Refusal::of(Cause::BodyMissing)),
-    }
-}
-
 /// The beginning of an answer's body.
 enum First {
     /// Not read, or the body is empty.
@@ -588,10 +399,3 @@
         None => First::None,
     }
 }
-
-/// Reads a body to its end; returns nothing if it broke off, was too long or took too long.
-async fn collect(body: Incoming, within: Duration) -> Option<Bytes> {
-    let limited = Limited::new(body, MAX_ANSWER_BYTES);
-    let collected = tokio::time::timeout(within, limited.collect()).await.ok()?.ok()?;
-    Some(collected.to_bytes())
-}
