--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -21,7 +21,7 @@
 mod intake;
 mod metrics;
 mod peers;
-mod reader;
+pub mod reader;
 mod relay;
 pub mod rpc;
 pub mod settings;
--- a/savoryport/src/node/reader.rs
+++ b/savoryport/src/node/reader.rs
@@ -38,6 +38,8 @@
 #[derive(Debug, Default, Clone, Copy)]
 struct ContactTimes {
     heard: Option<Instant>,
+    /// When the first call failed since the store was last heard.
+    failing_since: Option<Instant>,
     outage_ended: Option<Instant>,
 }
 
@@ -45,8 +47,9 @@
     /// Notes an answer; returns for how long there was none if the store was away.
     pub fn heard(&self, now: Instant) -> Option<Duration> {
         let mut times = self.0.lock().expect("no holder panics");
-        let silence = times.heard.map(|at| now.saturating_duration_since(at));
-        let outage = silence.filter(|silence| *silence > AWAY_AFTER);
+        // A node that follows a holder does not call, which is no silence of the store's.
+        let failing = times.failing_since.take().map(|at| now.saturating_duration_since(at));
+        let outage = failing.filter(|silence| *silence > AWAY_AFTER);
         if outage.is_some() {
             times.outage_ended = Some(now);
         }
@@ -54,6 +57,11 @@
         outage
     }
 
+    /// Notes a call without an answer.
+    pub fn failed(&self, now: Instant) {
+        self.0.lock().expect("no holder panics").failing_since.get_or_insert(now);
+    }
+
     /// Returns whether the store answers.
     pub fn is_good(&self, now: Instant) -> bool {
         let heard = self.0.lock().expect("no holder panics").heard;
@@ -68,7 +76,7 @@
 }
 
 /// Reads the store whenever `active` says so, until the node stops.
-pub async fn run(cx: Arc<NodeContext>, mut active: watch::Receiver<bool>) {
+pub(super) async fn run(cx: Arc<NodeContext>, mut active: watch::Receiver<bool>) {
     let mut position: Option<Revision> = None;
     let mut hearsay = 0;
     let mut failures = 0_u32;
@@ -94,6 +102,7 @@
                     log::warn!(err:% = err; "store lost");
                 }
                 cx.metrics.store_failures.inc();
+                cx.store_contact.failed(cx.now());
                 failures += 1;
                 tokio::time::sleep(pause(failures, cx.draw())).await;
             }
--- a/savoryport/tests/node_parts.rs
+++ b/savoryport/tests/node_parts.rs
@@ -5,6 +5,7 @@
 use assert_matches::assert_matches;
 use savoryport::node::events::EventCutter;
 use savoryport::node::fleet::Fleet;
+use savoryport::node::reader::StoreContact;
 use savoryport::node::settings::{NodeSettings, NodeSettingsError};
 use savoryport::node::view::Member;
 
@@ -73,3 +74,19 @@
     fleet.update(|state| state.expire_members(now + Duration::from_millis(600)));
     assert_eq!(fleet.view().members.len(), 1);
 }
+
+/// A holder that the store turned away made its followers read for themselves; they took the time in which
+/// they had not called for an outage, and kept leaving servers two seconds longer.
+#[test]
+fn a_store_that_was_not_called_was_not_away() {
+    let (contact, now) = (StoreContact::default(), Instant::now());
+    let at = |ms| now + Duration::from_millis(ms);
+    assert_eq!(contact.heard(at(0)), None);
+    assert_eq!(contact.heard(at(28_000)), None);
+    assert!(!contact.is_recovering(at(28_000)));
+    contact.failed(at(29_000));
+    contact.failed(at(30_000));
+    assert_eq!(contact.heard(at(31_000)), Some(Duration::from_secs(2)));
+    assert!(contact.is_recovering(at(31_000)));
+    assert!(!contact.is_recovering(at(33_000)));
+}
