Tell other failure domains which beginnings are cached where

Cause: holders exchanged loads but no prompts, so a node knew only the prompts that nodes of its own failure domain had sent: with six domains, one in six.

Change: holders tell each other the shared beginnings, each once in five seconds, without the part that belongs to one request. The log of prompts has its own module.

--- a/savoryport/src/node/hub.rs
+++ b/savoryport/src/node/hub.rs
@@ -1,6 +1,6 @@
 //! What a duty holder collects from its failure domain and passes on.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -13,6 +13,7 @@
 
 use super::NodeError;
 use super::context::NodeContext;
+use super::prompts::PromptLog;
 use super::rpc::{
     CopyUse, MAX_MESSAGE_BYTES, Peer, Position, PromptRecord, Role, SyncReply, SyncRequest,
     WishReply,
@@ -21,9 +22,6 @@
 /// What another node told counts for this long.
 const TOLD_LIFETIME: Duration = Duration::from_millis(1_000);
 
-/// Prompt records that are kept for followers.
-const MAX_PROMPTS: usize = 1_024;
-
 /// Loads by server.
 type Loads = HashMap<Name, ServerLoad>;
 
@@ -36,8 +34,7 @@
     followers: HashMap<Name, Told>,
     domains: HashMap<Name, Told>,
     work_ms: HashMap<Name, f64>,
-    prompts: VecDeque<(u64, Name, PromptRecord)>,
-    prompt_count: u64,
+    prompts: PromptLog,
 }
 
 #[derive(Debug)]
@@ -70,7 +67,7 @@
             state.followers.insert(vm.clone(), told);
         }
         state.add_work(&req.work_ms);
-        state.add_prompts(vm, &req.prompts);
+        state.prompts.add(vm, &req.prompts, now);
     }
 
     /// Takes the sums of another failure domain.
@@ -89,10 +86,21 @@
     }
 
     /// Takes this node's own work and prompts.
-    pub fn note_own(&self, vm: &Name, work_ms: &[(Name, f64)], prompts: &[PromptRecord]) {
+    pub fn note_own(
+        &self,
+        vm: &Name,
+        work_ms: &[(Name, f64)],
+        prompts: &[PromptRecord],
+        now: Instant,
+    ) {
         let mut state = self.lock();
         state.add_work(work_ms);
-        state.add_prompts(vm, prompts);
+        state.prompts.add(vm, prompts, now);
+    }
+
+    /// Takes prompts that nodes of another failure domain sent, for the followers.
+    pub fn note_domain_prompts(&self, prompts: &[PromptRecord]) {
+        self.lock().prompts.add_foreign(prompts);
     }
 
     /// Returns the work by model that arrived since the last call, in milliseconds.
@@ -129,13 +137,6 @@
         }
         sum
     }
-
-    fn prompts_since(&self, position: u64, vm: &str) -> (u64, Vec<PromptRecord>) {
-        let state = self.lock();
-        let news =
-            state.prompts.iter().filter(|(number, from, _)| *number > position && **from != *vm);
-        (state.prompt_count, news.map(|(_, _, record)| record.clone()).collect())
-    }
 }
 
 impl HubState {
@@ -144,16 +145,6 @@
             *self.work_ms.entry(model.clone()).or_default() += ms;
         }
     }
-
-    fn add_prompts(&mut self, vm: &Name, prompts: &[PromptRecord]) {
-        for record in prompts {
-            self.prompt_count += 1;
-            self.prompts.push_back((self.prompt_count, vm.clone(), record.clone()));
-        }
-        while self.prompts.len() > MAX_PROMPTS {
-            self.prompts.pop_front();
-        }
-    }
 }
 
 /// Adds loads to a sum.
@@ -191,8 +182,11 @@
         };
         add_loads(&mut loads, cx.boards.lock().loads.own());
         let (prompt_count, prompts) = match req.role {
-            Role::Follower => cx.hub.prompts_since(req.have.prompts, &req.member.vm),
-            Role::Holder => (0, Vec::new()),
+            Role::Follower => cx.hub.lock().prompts.since(req.have.prompts, &req.member.vm),
+            Role::Holder if req.have.tenure == cx.tenure => {
+                cx.hub.lock().prompts.shared_since(req.have.prompts)
+            }
+            Role::Holder => cx.hub.lock().prompts.shared_since(0),
         };
         let mut reply = SyncReply {
             position: Position::default(),
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -21,6 +21,7 @@
 mod intake;
 mod metrics;
 mod peers;
+pub mod prompts;
 pub mod reader;
 mod relay;
 pub mod rpc;
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -55,6 +55,13 @@
     pub keys: PrefixKeys,
 }
 
+impl PromptRecord {
+    /// Returns the keys of the beginnings that other prompts may share: all but the whole prompt.
+    pub fn shared_keys(&self) -> &[(u64, u32)] {
+        self.keys.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// A copy of a model, or of one of its adapters, that requests of one node use.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CopyUse {
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -166,7 +166,7 @@
         let work_ms: Vec<(Name, f64)> = boards.work_ms.drain().collect();
         (work_ms, std::mem::take(&mut boards.prompts))
     };
-    cx.hub.note_own(&cx.settings.vm, &work_ms, &prompts);
+    cx.hub.note_own(&cx.settings.vm, &work_ms, &prompts, now);
     let others = cx.hub.loads_but(None, true, now);
     let nodes = cx.fleet.view().members.len();
     let mut boards = cx.boards.lock();
@@ -265,6 +265,8 @@
     };
     fetch_config(cx, holder, &Arc::default(), reply.position.config);
     cx.hub.note_domain(domain, reply.loads.clone(), cx.now());
+    cx.hub.note_domain_prompts(&reply.prompts);
+    note_prompts(cx, &reply.prompts, cx.now());
     cx.fleet.update(|state| {
         for server in reply.servers.iter().filter(|server| server.failure_domain == *domain) {
             let residency = super::fleet::Residency {
--- a/savoryport/tests/node_parts.rs
+++ b/savoryport/tests/node_parts.rs
@@ -5,7 +5,9 @@
 use assert_matches::assert_matches;
 use savoryport::node::events::EventCutter;
 use savoryport::node::fleet::Fleet;
+use savoryport::node::prompts::PromptLog;
 use savoryport::node::reader::StoreContact;
+use savoryport::node::rpc::PromptRecord;
 use savoryport::node::settings::{NodeSettings, NodeSettingsError};
 use savoryport::node::view::Member;
 
@@ -90,3 +92,34 @@
     assert!(contact.is_recovering(at(31_000)));
     assert!(!contact.is_recovering(at(33_000)));
 }
+
+/// A prompt with the shared beginning `key` and a part of its own.
+fn prompt(key: u64, own: u64) -> PromptRecord {
+    let keys = [(key, 6_300), (own, 9_190)].into_iter().collect();
+    PromptRecord { server: "s".into(), incarnation: 1, keys }
+}
+
+#[test]
+fn other_failure_domains_hear_of_a_shared_beginning_once_and_of_nothing_else() {
+    let (mut log, now) = (PromptLog::default(), Instant::now());
+    log.add(&"a".into(), &[prompt(1, 10), prompt(1, 11), prompt(2, 12)], now);
+    let (position, told) = log.shared_since(0);
+    let keys: Vec<_> = told.iter().map(|record| record.keys.to_vec()).collect();
+    assert_eq!(keys, [[(1, 6_300)], [(2, 6_300)]]);
+    log.add(&"a".into(), &[prompt(1, 13)], now);
+    assert_eq!(log.shared_since(position).1, []);
+    // Told again after a while, or it would be forgotten elsewhere while it is in use here.
+    log.add(&"a".into(), &[prompt(1, 14)], now + Duration::from_secs(6));
+    assert_eq!(log.shared_since(position).1.len(), 1);
+}
+
+#[test]
+fn followers_hear_of_whole_prompts_and_of_other_domains_beginnings() {
+    let (mut log, now) = (PromptLog::default(), Instant::now());
+    log.add(&"a".into(), &[prompt(1, 10)], now);
+    log.add_foreign(&[prompt(3, 30)]);
+    assert_eq!(log.since(0, "a").1, [prompt(3, 30)]);
+    assert_eq!(log.since(0, "b").1, [prompt(1, 10), prompt(3, 30)]);
+    let told_on = log.shared_since(0).1;
+    assert!(told_on.iter().all(|record| record.keys[0].0 == 1), "foreign news is not told on");
+}
