--- a/savoryport/src/node/boards.rs
+++ b/savoryport/src/node/boards.rs
@@ -2,12 +2,12 @@
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use savoryport_core::Name;
 use savoryport_core::node::budget::{RetryBound, RetryBudget};
 use savoryport_core::node::health::HealthBoard;
-use savoryport_core::node::load::{LoadBoard, ServerLoad};
+use savoryport_core::node::load::LoadBoard;
 use savoryport_core::node::prefix::PrefixMap;
 use savoryport_core::node::selection::{SelectionContext, SelectionCosts, Speeds};
 
@@ -16,10 +16,6 @@
 /// Prompt records that wait for the next sync at most; older ones are of little use by then.
 const MAX_PROMPTS: usize = 512;
 
-/// What another node heard of a server is known here after this time at the latest: with the periods
-/// of syncs and exchanges, it passes through the holders of two failure domains.
-const NEWS_LAG: Duration = Duration::from_millis(500);
-
 /// A copy at a server: the model, and the adapter that requests name.
 pub type CopyKey = (Name, Name, Option<Name>);
 
@@ -84,25 +80,6 @@
         }
     }
 
-    /// Returns this node's own loads as it tells them to others.
-    pub fn told_loads(&self, now: Instant) -> HashMap<Name, ServerLoad> {
-        let quiet = |server: &Name| {
-            let quiet = now.saturating_duration_since(self.health.last_heard(server)?);
-            u16::try_from(quiet.as_millis()).ok()
-        };
-        let own = self.loads.own().iter();
-        own.map(|(id, load)| (id.clone(), ServerLoad { quiet_ms: quiet(id), ..*load })).collect()
-    }
-
-    /// Returns whether the server has sent nothing since then, neither to this node nor to another as
-    /// far as that can be known. A small part of a large fleet's answers passes through one node.
-    pub fn is_silent(&self, server: &str, since: Instant, now: Instant) -> bool {
-        let is_old = |at: Instant| now.saturating_duration_since(at) >= NEWS_LAG;
-        let others = self.loads.heard_by_others(server);
-        self.health.last_heard(server).is_none_or(|at| at <= since)
-            && others.is_none_or(|at| at <= since && is_old(at))
-    }
-
     /// Notes a prompt that was sent to a server.
     pub fn record_prompt(&mut self, record: PromptRecord, cache_tokens: u64, now: Instant) {
         let PromptRecord { server, incarnation, keys } = &record;
--- a/savoryport/src/node/dispatch.rs
+++ b/savoryport/src/node/dispatch.rs
@@ -147,14 +147,6 @@
         self.deployment.services.get(&self.service)?.engine.as_ref()
     }
 
-    /// Returns what is expected of the server that would take the request now.
-    pub(super) fn expected_elsewhere(&self) -> Option<Duration> {
-        match self.look(&[]) {
-            Look::Picked(picked, _) => Some(picked.expected),
-            Look::NoModel | Look::NoServer | Look::Overload { .. } => None,
-        }
-    }
-
     fn look(&self, without_place: &[Name]) -> Look {
         let view = self.cx.fleet.view();
         let mut candidates = self.candidates(&view);
--- a/savoryport/src/node/hub.rs
+++ b/savoryport/src/node/hub.rs
@@ -129,11 +129,11 @@
         let mut sum = Loads::new();
         for (name, told) in &state.followers {
             if Some(&**name) != vm {
-                add_loads(&mut sum, &told.loads, now.saturating_duration_since(told.at));
+                add_loads(&mut sum, &told.loads);
             }
         }
         for told in state.domains.values().filter(|told| with_domains && is_fresh(told.at)) {
-            add_loads(&mut sum, &told.loads, now.saturating_duration_since(told.at));
+            add_loads(&mut sum, &told.loads);
         }
         sum
     }
@@ -147,10 +147,10 @@
     }
 }
 
-/// Adds loads that were told some time ago to a sum.
-pub fn add_loads(sum: &mut Loads, loads: &Loads, age: Duration) {
+/// Adds loads to a sum.
+pub fn add_loads(sum: &mut Loads, loads: &Loads) {
     for (server, load) in loads {
-        sum.entry(server.clone()).or_default().add(&load.aged(age));
+        sum.entry(server.clone()).or_default().add(load);
     }
 }
 
@@ -180,7 +180,7 @@
                 cx.hub.loads_but(None, false, now)
             }
         };
-        add_loads(&mut loads, &cx.boards.lock().told_loads(now), Duration::ZERO);
+        add_loads(&mut loads, cx.boards.lock().loads.own());
         let (prompt_count, prompts) = match req.role {
             Role::Follower => cx.hub.lock().prompts.since(req.have.prompts, &req.member.vm),
             Role::Holder if req.have.tenure == cx.tenure => {
--- a/savoryport/src/node/relay.rs
+++ b/savoryport/src/node/relay.rs
@@ -37,8 +37,11 @@
 /// No answer is waited for shorter than this before a repeatable request goes elsewhere.
 const MIN_STALL: Duration = Duration::from_millis(250);
 
-/// The pause between two looks at a server that keeps a request waiting.
-const STALL_PAUSE: Duration = Duration::from_millis(100);
+/// The share of the target after which going elsewhere cannot be on time any more.
+const STALL_TARGET_SHARE: f64 = 0.6;
+
+/// The share of the time left that a repeatable request waits for its first server.
+const LONG_PATIENCE_SHARE: f64 = 0.5;
 
 /// One request on its way.
 pub struct Relay {
@@ -145,12 +148,6 @@
         sent < self.route.max_attempts && boards.budget.take(&self.service)
     }
 
-    /// Returns what is expected of another server, if one would take the request now.
-    fn alternative(&self) -> Option<Duration> {
-        let has_repeat = self.cx.boards.lock().budget.has_repeat(&self.service);
-        if has_repeat { self.expected_elsewhere() } else { None }
-    }
-
     fn obstacle_to_retry(&self) -> Option<Cause> {
         if self.left().is_zero() {
             return Some(Cause::TimedOut);
@@ -333,21 +330,17 @@
         if !can_go_elsewhere {
             return tokio::time::timeout(self.left(), answer).await.ok();
         }
-        let mut wait = (picked.expected * STALL_FACTOR).max(MIN_STALL);
-        loop {
-            if let Ok(answer) = tokio::time::timeout(wait.min(self.left()), answer.as_mut()).await {
+        let stall = (picked.expected * STALL_FACTOR).max(MIN_STALL);
+        if stall < self.route.target.mul_f64(STALL_TARGET_SHARE) {
+            if let Ok(answer) = tokio::time::timeout(stall, answer.as_mut()).await {
                 return Some(answer);
             }
-            let now = self.cx.now();
-            let is_silent = self.cx.boards.lock().is_silent(&picked.server.id, sent_at, now);
-            let alternative = self.alternative();
-            let is_better =
-                |expected| is_silent || now - self.arrived + expected < self.route.target;
-            if self.left().is_zero() || alternative.is_some_and(is_better) {
+            if !self.cx.boards.lock().health.was_heard_since(&picked.server.id, sent_at) {
                 return None;
             }
-            wait = STALL_PAUSE;
         }
+        let patience = self.left().mul_f64(LONG_PATIENCE_SHARE);
+        tokio::time::timeout(patience, answer).await.ok()
     }
 
     fn request(&self, picked: &Picked, resume_after: Option<u64>) -> Request<Full<Bytes>> {
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -174,9 +174,9 @@
 
     /// Returns whether the stream can go on elsewhere and its server is silent to all its requests.
     fn is_silent(&self, opened: &Opened) -> bool {
-        let now = self.relay.cx.now();
-        let boards = self.relay.cx.boards.lock();
-        self.may_resume() && boards.is_silent(opened.flight.server(), now - MAX_GAP, now)
+        let cx = &self.relay.cx;
+        let since = cx.now() - MAX_GAP;
+        self.may_resume() && !cx.boards.lock().health.was_heard_since(opened.flight.server(), since)
     }
 
     fn note_first_token(&mut self, opened: &mut Opened) {
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -116,7 +116,7 @@
         role: Role::Follower,
         is_leaving: cx.stopping.is_cancelled(),
         have: Position { config: cx.fleet.view().version(), ..following.have },
-        loads: boards.told_loads(cx.now()).into_iter().collect(),
+        loads: boards.loads.own().iter().map(|(server, load)| (server.clone(), *load)).collect(),
         work_ms: boards.work_ms.drain().collect(),
         copies: boards.copies_in_use(),
         prompts: std::mem::take(&mut boards.prompts),
@@ -132,7 +132,7 @@
     let now = cx.now();
     // A node that does not hear the store, or has just started, may know less than this one.
     let takes_servers = takes_servers && reply.is_holder;
-    cx.boards.lock().loads.set_others(reply.loads.iter().cloned().collect(), now);
+    cx.boards.lock().loads.set_others(reply.loads.iter().cloned().collect());
     note_prompts(cx, &reply.prompts, now);
     cx.fleet.update(|state| {
         if takes_servers {
@@ -170,7 +170,7 @@
     let others = cx.hub.loads_but(None, true, now);
     let nodes = cx.fleet.view().members.len();
     let mut boards = cx.boards.lock();
-    boards.loads.set_others(others, now);
+    boards.loads.set_others(others);
     boards.budget.set_nodes(nodes);
 }
 
@@ -240,7 +240,7 @@
 ) -> Option<Position> {
     let now = cx.now();
     let mut loads: HashMap<Name, ServerLoad> = cx.hub.loads_but(None, false, now);
-    add_loads(&mut loads, &cx.boards.lock().told_loads(now), Duration::ZERO);
+    add_loads(&mut loads, cx.boards.lock().loads.own());
     let req = SyncRequest {
         member: cx.member.clone(),
         role: Role::Holder,
--- a/savoryport_core/src/node/health.rs
+++ b/savoryport_core/src/node/health.rs
@@ -102,9 +102,10 @@
         self.servers.entry(server.clone()).or_default().last_heard = Some(now);
     }
 
-    /// Returns when the server last sent something to this node.
-    pub fn last_heard(&self, server: &str) -> Option<Instant> {
-        self.servers.get(server)?.last_heard
+    /// Returns whether the server sent something to anybody here since then.
+    pub fn was_heard_since(&self, server: &str, since: Instant) -> bool {
+        let heard = self.servers.get(server).and_then(|health| health.last_heard);
+        heard.is_some_and(|at| at > since)
     }
 
     /// Returns whether the server is left alone for now.
--- a/savoryport_core/src/node/load.rs
+++ b/savoryport_core/src/node/load.rs
@@ -4,7 +4,6 @@
 //! what the next request waits for.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
@@ -25,8 +24,6 @@
     pub prefill_ms: [f32; RANKS],
     /// Requests under way, with or without a first token.
     pub running: u32,
-    /// Milliseconds since the server last sent something, if it has.
-    pub quiet_ms: Option<u16>,
 }
 
 impl ServerLoad {
@@ -41,16 +38,6 @@
             *sum += ms;
         }
         self.running += other.running;
-        self.quiet_ms = match (self.quiet_ms, other.quiet_ms) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        };
-    }
-
-    /// Returns the same load as it counts this much later.
-    pub fn aged(self, by: Duration) -> Self {
-        let by = u16::try_from(by.as_millis()).unwrap_or(u16::MAX);
-        Self { quiet_ms: self.quiet_ms.map(|quiet| quiet.saturating_add(by)), ..self }
     }
 
     /// Returns the prefill that a request of this rank waits for. Less urgent prompts that are
@@ -67,8 +54,6 @@
 pub struct LoadBoard {
     own: HashMap<Name, ServerLoad>,
     others: HashMap<Name, ServerLoad>,
-    /// When the sums of the others were told.
-    others_at: Option<Instant>,
 }
 
 impl LoadBoard {
@@ -98,15 +83,8 @@
     }
 
     /// Takes the sums of the other nodes.
-    pub fn set_others(&mut self, others: HashMap<Name, ServerLoad>, now: Instant) {
+    pub fn set_others(&mut self, others: HashMap<Name, ServerLoad>) {
         self.others = others;
-        self.others_at = Some(now);
-    }
-
-    /// Returns when the server last sent something to another node, as far as nodes have told.
-    pub fn heard_by_others(&self, server: &str) -> Option<Instant> {
-        let quiet = Duration::from_millis(self.others.get(server)?.quiet_ms?.into());
-        self.others_at?.checked_sub(quiet)
     }
 
     /// Returns this node's own loads.
