--- a/savoryport/src/node/boards.rs
+++ b/savoryport/src/node/boards.rs
@@ -11,7 +11,7 @@
 use savoryport_core::node::prefix::PrefixMap;
 use savoryport_core::node::selection::{SelectionContext, SelectionCosts, Speeds};
 
-use super::rpc::{CopyUse, Doubt, PromptRecord};
+use super::rpc::{CopyUse, PromptRecord};
 
 /// Prompt records that wait for the next sync at most; older ones are of little use by then.
 const MAX_PROMPTS: usize = 512;
@@ -38,8 +38,6 @@
     pub work_ms: HashMap<Name, f64>,
     /// Prompts sent since the last sync.
     pub prompts: Vec<PromptRecord>,
-    /// Servers whose contents came into doubt since the last sync, with the incarnation believed.
-    pub doubts: HashMap<Name, u64>,
     costs: SelectionCosts,
 }
 
@@ -59,7 +57,6 @@
             copies: HashMap::new(),
             work_ms: HashMap::new(),
             prompts: Vec::new(),
-            doubts: HashMap::new(),
             costs,
         }))
     }
@@ -92,12 +89,6 @@
         }
     }
 
-    /// Takes the doubts that were not told yet.
-    pub fn take_doubts(&mut self) -> Vec<Doubt> {
-        let doubts = self.doubts.drain();
-        doubts.map(|(server, incarnation)| Doubt { server, incarnation }).collect()
-    }
-
     /// Returns the copies in use.
     pub fn copies_in_use(&self) -> Vec<CopyUse> {
         let uses = self.copies.iter().map(|((server, model, adapter), requests)| CopyUse {
--- a/savoryport/src/node/desk.rs
+++ b/savoryport/src/node/desk.rs
@@ -20,7 +20,7 @@
 
 use super::context::NodeContext;
 use super::engine::{Command, EngineHandle};
-use super::rpc::{Doubt, WishReply};
+use super::rpc::WishReply;
 use super::view::View;
 
 /// A wish for a model that nobody holds counts as demand for this long.
@@ -121,18 +121,6 @@
         }
     }
 
-    /// Has the contents of a server checked; returns whether this node gives its orders.
-    pub fn check_contents(&self, cx: &NodeContext, doubt: &Doubt) -> bool {
-        let view = cx.fleet.view();
-        let Some(server) = view.servers.get(&doubt.server) else { return true };
-        let desks = self.0.lock().expect("no holder panics");
-        let Some(desk) = desks.get(&server.failure_domain) else { return false };
-        if let Some(engine) = desk.engine(&doubt.server) {
-            engine.send(Command::Check { believed: doubt.incarnation });
-        }
-        true
-    }
-
     /// Notes that requests wait for a model, and tells how long it will take.
     pub fn want_model(
         &self,
--- a/savoryport/src/node/engine.rs
+++ b/savoryport/src/node/engine.rs
@@ -63,11 +63,6 @@
     },
     /// Drop some models and load another.
     Move(Move),
-    /// Look whether the server has started anew.
-    Check {
-        /// The incarnation that was believed to run.
-        believed: u64,
-    },
 }
 
 /// An engine as its desk sees it.
@@ -94,7 +89,6 @@
             loading: None,
             withdrawn: Vec::new(),
             arriving: HashMap::new(),
-            checked_at: None,
         };
         tokio::spawn(desk.cancel.clone().run_until_cancelled_owned(task.run(rx)));
         handle
@@ -148,7 +142,6 @@
     withdrawn: Vec<Name>,
     /// Adapters that the server accepted, and when they can be used.
     arriving: HashMap<(Name, Name), Instant>,
-    checked_at: Option<Instant>,
 }
 
 impl EngineTask {
@@ -168,7 +161,6 @@
                         self.bring_adapter(&model, &adapter, reply).await;
                     }
                     Some(Command::Move(wanted)) => self.withdraw(wanted),
-                    Some(Command::Check { believed }) => self.check_contents(believed).await,
                     None => return,
                 },
                 () = look => self.look().await,
@@ -247,39 +239,6 @@
         false
     }
 
-    /// Looks whether the server has started anew, which its entry tells only with its next heartbeat.
-    /// Until then every node would send it requests for what it held before.
-    async fn check_contents(&mut self, believed: u64) {
-        let now = self.cx.now();
-        let is_recent = self.checked_at.is_some_and(|at| now - at < REPORT_PAUSE);
-        if is_recent || self.ledger().incarnation() != believed {
-            return;
-        }
-        self.checked_at = Some(now);
-        let Some((server, _)) = self.target() else { return };
-        match engine::report(&self.cx.order_pool, &server, REPORT_TIMEOUT).await {
-            Ok(report) if report.incarnation != believed => {
-                log::info!(
-                    server = &*self.server, before = believed, incarnation = report.incarnation;
-                    "server restarted"
-                );
-                self.ledger().reset(&report, self.cx.now());
-                self.forget_moves();
-                self.publish();
-            }
-            Ok(_) => {}
-            Err(err) => log::debug!(server = &*self.server, err:% = err; "no report"),
-        }
-    }
-
-    fn forget_moves(&mut self) {
-        self.draining = None;
-        self.loading = None;
-        self.withdrawn.clear();
-        self.arriving.clear();
-        self.end_move();
-    }
-
     /// Gives an order if this node may; returns the server's answer.
     async fn give(
         &mut self,
--- a/savoryport/src/node/fleet.rs
+++ b/savoryport/src/node/fleet.rs
@@ -350,23 +350,19 @@
             self.removals_from = self.removals.pop_front().map_or(0, |(revision, _)| revision);
         }
         for server in self.registry.servers().values() {
-            // An order giver may hear of a restart before the store does.
             let residency = self
                 .residency
                 .get(&server.id)
-                .filter(|known| known.incarnation >= server.incarnation);
-            let incarnation = residency.map_or(server.incarnation, |known| known.incarnation);
+                .filter(|known| known.incarnation == server.incarnation);
             let models = residency.map_or(&server.models, |known| &known.models);
             let is_busy = residency.map_or(server.is_busy, |known| known.is_busy);
             let is_same = self.published.get(&server.id).is_some_and(|(_, known)| {
                 known.models == *models
                     && known.is_busy == is_busy
-                    && known.incarnation == incarnation
                     && is_same_but_models(known, server)
             });
             if !is_same {
-                let models = models.clone();
-                let merged = BackendServer { incarnation, models, is_busy, ..server.clone() };
+                let merged = BackendServer { models: models.clone(), is_busy, ..server.clone() };
                 self.servers_revision += 1;
                 let entry = (self.servers_revision, Arc::new(merged));
                 self.published.insert(server.id.clone(), entry);
@@ -378,6 +374,7 @@
 
 fn is_same_but_models(a: &BackendServer, b: &BackendServer) -> bool {
     a.state == b.state
+        && a.incarnation == b.incarnation
         && a.address == b.address
         && a.service == b.service
         && a.failure_domain == b.failure_domain
--- a/savoryport/src/node/hub.rs
+++ b/savoryport/src/node/hub.rs
@@ -15,7 +15,7 @@
 use super::context::NodeContext;
 use super::prompts::PromptLog;
 use super::rpc::{
-    CopyUse, Doubt, MAX_MESSAGE_BYTES, Peer, Position, PromptRecord, Role, SyncReply, SyncRequest,
+    CopyUse, MAX_MESSAGE_BYTES, Peer, Position, PromptRecord, Role, SyncReply, SyncRequest,
     WishReply,
 };
 
@@ -35,8 +35,6 @@
     domains: HashMap<Name, Told>,
     work_ms: HashMap<Name, f64>,
     prompts: PromptLog,
-    /// Doubts about servers of other failure domains, for their holders.
-    doubts: HashMap<Name, u64>,
 }
 
 #[derive(Debug)]
@@ -100,18 +98,6 @@
         state.prompts.add(vm, prompts, now);
     }
 
-    /// Keeps a doubt for the holder of the server's failure domain.
-    fn keep_doubt(&self, doubt: Doubt) {
-        self.lock().doubts.insert(doubt.server, doubt.incarnation);
-    }
-
-    /// Takes the doubts about servers that `concerns` selects.
-    pub fn take_doubts(&self, concerns: impl Fn(&str) -> bool) -> Vec<Doubt> {
-        let mut state = self.lock();
-        let taken = state.doubts.extract_if(|server, _| concerns(server));
-        taken.map(|(server, incarnation)| Doubt { server, incarnation }).collect()
-    }
-
     /// Takes prompts that nodes of another failure domain sent, for the followers.
     pub fn note_domain_prompts(&self, prompts: &[PromptRecord]) {
         self.lock().prompts.add_foreign(prompts);
@@ -161,16 +147,6 @@
     }
 }
 
-/// Has servers looked at whose contents are in doubt: those of this node's duties at once, others by
-/// the holders of their failure domains.
-pub fn raise_doubts(cx: &NodeContext, doubts: Vec<Doubt>) {
-    for doubt in doubts {
-        if !cx.desks.check_contents(cx, &doubt) {
-            cx.hub.keep_doubt(doubt);
-        }
-    }
-}
-
 /// Adds loads to a sum.
 pub fn add_loads(sum: &mut Loads, loads: &Loads) {
     for (server, load) in loads {
@@ -186,7 +162,6 @@
 impl Peer for PeerServer {
     async fn sync(self, _: Context, req: SyncRequest) -> SyncReply {
         let (cx, now) = (&self.cx, self.cx.now());
-        raise_doubts(cx, req.doubts.clone());
         let domain = match req.role {
             Role::Follower => None,
             Role::Holder => Some(&*cx.settings.failure_domain),
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -75,15 +75,6 @@
     pub requests: u32,
 }
 
-/// A server that said that it does not hold what it was believed to hold.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Doubt {
-    /// The server.
-    pub server: Name,
-    /// The incarnation that was believed to run.
-    pub incarnation: u64,
-}
-
 /// What a node tells, and what it has.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SyncRequest {
@@ -103,8 +94,6 @@
     pub copies: Vec<CopyUse>,
     /// Prompts sent since the last call.
     pub prompts: Vec<PromptRecord>,
-    /// Servers whose contents came into doubt since the last call.
-    pub doubts: Vec<Doubt>,
 }
 
 /// Nodes that take callers, and duty holders by failure domain.
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use super::context::NodeContext;
-use super::hub::{add_loads, note_prompts, raise_doubts};
+use super::hub::{add_loads, note_prompts};
 use super::reader::accept_config;
 use super::rpc::{PeerError, Position, Role, SyncReply, SyncRequest};
 use super::view::{AcceptedConfig, DutyHolder};
@@ -120,7 +120,6 @@
         work_ms: boards.work_ms.drain().collect(),
         copies: boards.copies_in_use(),
         prompts: std::mem::take(&mut boards.prompts),
-        doubts: boards.take_doubts(),
     }
 }
 
@@ -162,12 +161,11 @@
 /// Passes this holder's own counts to its hub, and the sums of all others to its boards.
 fn publish_own(cx: &NodeContext) {
     let now = cx.now();
-    let (work_ms, prompts, doubts) = {
+    let (work_ms, prompts) = {
         let mut boards = cx.boards.lock();
         let work_ms: Vec<(Name, f64)> = boards.work_ms.drain().collect();
-        (work_ms, std::mem::take(&mut boards.prompts), boards.take_doubts())
+        (work_ms, std::mem::take(&mut boards.prompts))
     };
-    raise_doubts(cx, doubts);
     cx.hub.note_own(&cx.settings.vm, &work_ms, &prompts, now);
     let others = cx.hub.loads_but(None, true, now);
     let nodes = cx.fleet.view().members.len();
@@ -241,7 +239,6 @@
     have: Position,
 ) -> Option<Position> {
     let now = cx.now();
-    let view = cx.fleet.view();
     let mut loads: HashMap<Name, ServerLoad> = cx.hub.loads_but(None, false, now);
     add_loads(&mut loads, cx.boards.lock().loads.own());
     let req = SyncRequest {
@@ -253,9 +250,6 @@
         work_ms: Vec::new(),
         copies: cx.copies_in_domain(domain),
         prompts: Vec::new(),
-        doubts: cx.hub.take_doubts(|id| {
-            view.servers.get(id).is_some_and(|server| server.failure_domain == *domain)
-        }),
     };
     let exchange = async {
         let connection = cx.peers.get(holder.peers).await?;
--- a/savoryport/src/node/verdict.rs
+++ b/savoryport/src/node/verdict.rs
@@ -64,7 +64,6 @@
         match (status, self.copy_name()) {
             (StatusCode::MISDIRECTED_REQUEST, Some(copy)) => {
                 boards.health.note_denial(&server.id, copy, server.incarnation, now);
-                boards.doubts.insert(server.id.clone(), server.incarnation);
             }
             (StatusCode::SERVICE_UNAVAILABLE, _) => {
                 boards.health.note_full(&server.id, self.route.rank, now);
