Refuse at once what would queue for longer than its target

A shorter queue serves as many a second, on time.

Change: what is expected to wait longer than 1.25 times its target at the servers is refused with a time to come back. A wait for a model that was being loaded does not count.

--- a/savoryport/src/node/desk.rs
+++ b/savoryport/src/node/desk.rs
@@ -36,6 +36,9 @@
 /// The time that an adapter may take before a request looks elsewhere.
 const ADAPTER_PATIENCE: Duration = Duration::from_millis(400);
 
+/// The incarnation in a ledger before the first report.
+const UNKNOWN_INCARNATION: u64 = 0;
+
 /// The desks of this node, by failure domain.
 #[derive(Debug, Default)]
 pub struct Desks(Mutex<HashMap<Name, Arc<Desk>>>);
@@ -192,6 +195,11 @@
                 let handle = EngineHandle::start(cx, self, &server.id);
                 engines.insert(server.id.clone(), handle);
             }
+            let Some(engine) = engines.get(&server.id) else { continue };
+            let known = engine.ledger().incarnation();
+            if known != UNKNOWN_INCARNATION && known != server.incarnation {
+                engine.send(Command::Restarted);
+            }
         }
     }
 }
--- a/savoryport/src/node/dispatch.rs
+++ b/savoryport/src/node/dispatch.rs
@@ -104,6 +104,7 @@
                 }
                 Look::NoModel if !waited_for_model => {
                     self.await_model().await?;
+                    self.queued_since = self.cx.now();
                     waited_for_model = true;
                 }
                 Look::NoModel => return Err(self.later(Cause::NoModel)),
@@ -172,6 +173,7 @@
             rank: self.route.rank,
             expected: choice.expected,
             elapsed: now - self.arrived,
+            queued: now - self.queued_since,
             target: self.route.target,
             left: self.left(),
         };
--- a/savoryport/src/node/engine.rs
+++ b/savoryport/src/node/engine.rs
@@ -63,6 +63,8 @@
     },
     /// Drop some models and load another.
     Move(Move),
+    /// Look what the server holds since it started anew.
+    Restarted,
 }
 
 /// An engine as its desk sees it.
@@ -89,6 +91,7 @@
             loading: None,
             withdrawn: Vec::new(),
             arriving: HashMap::new(),
+            checked_at: None,
         };
         tokio::spawn(desk.cancel.clone().run_until_cancelled_owned(task.run(rx)));
         handle
@@ -142,6 +145,8 @@
     withdrawn: Vec<Name>,
     /// Adapters that the server accepted, and when they can be used.
     arriving: HashMap<(Name, Name), Instant>,
+    /// When the contents were last looked at after a restart.
+    checked_at: Option<Instant>,
 }
 
 impl EngineTask {
@@ -161,6 +166,7 @@
                         self.bring_adapter(&model, &adapter, reply).await;
                     }
                     Some(Command::Move(wanted)) => self.withdraw(wanted),
+                    Some(Command::Restarted) => self.look_after_restart().await,
                     None => return,
                 },
                 () = look => self.look().await,
@@ -239,6 +245,39 @@
         false
     }
 
+    /// Replaces what is known of a server by what it holds since its restart. Until then its former
+    /// copies would count as copies, and nobody would bring them back.
+    async fn look_after_restart(&mut self) {
+        let now = self.cx.now();
+        let is_recent = self.checked_at.is_some_and(|at| now - at < REPORT_PAUSE);
+        let Some((server, _)) = self.target() else { return };
+        if is_recent || self.ledger().incarnation() == server.incarnation {
+            return;
+        }
+        self.checked_at = Some(now);
+        match engine::report(&self.cx.order_pool, &server, REPORT_TIMEOUT).await {
+            Ok(report) if report.incarnation == server.incarnation => {
+                log::info!(
+                    server = &*self.server, incarnation = report.incarnation;
+                    "server restarted"
+                );
+                self.ledger().reset(&report, self.cx.now());
+                self.forget_moves();
+                self.publish();
+            }
+            Ok(_) => {}
+            Err(err) => log::debug!(server = &*self.server, err:% = err; "no report"),
+        }
+    }
+
+    fn forget_moves(&mut self) {
+        self.draining = None;
+        self.loading = None;
+        self.withdrawn.clear();
+        self.arriving.clear();
+        self.end_move();
+    }
+
     /// Gives an order if this node may; returns the server's answer.
     async fn give(
         &mut self,
--- a/savoryport/src/node/intake.rs
+++ b/savoryport/src/node/intake.rs
@@ -49,6 +49,7 @@
             head,
             keys,
             arrived,
+            queued_since: arrived,
             ends,
             method: parts.method,
             target,
--- a/savoryport/src/node/relay.rs
+++ b/savoryport/src/node/relay.rs
@@ -52,6 +52,8 @@
     pub(super) head: RequestHead,
     pub(super) keys: PrefixKeys,
     pub(super) arrived: Instant,
+    /// Since when some server could have taken it.
+    pub(super) queued_since: Instant,
     pub(super) ends: Instant,
     pub(super) method: Method,
     pub(super) target: String,
--- a/savoryport_core/src/node/admission.rs
+++ b/savoryport_core/src/node/admission.rs
@@ -1,8 +1,9 @@
 //! Decides whether a request is served, and when a refused caller may come back.
 //!
-//! Load pattern: floods beyond what the servers can take. A request whose first token cannot come
-//! before its caller leaves is refused at once, while it costs nothing; one that can only be late
-//! yields to those that can still be on time.
+//! Load pattern: floods beyond what the servers can take. A queue that is longer than the target makes
+//! everyone late and serves nobody more, so who would join it is refused at once, while it costs
+//! nothing, and told when to come back. One that can only be late yields to those that can still be on
+//! time.
 
 use std::time::Duration;
 
@@ -27,6 +28,10 @@
 /// The share of a caller's patience that the first token may be expected to take.
 const PATIENCE_SHARE: f64 = 0.75;
 
+/// The longest queue, as a share of the target. It exceeds 1 because what is expected is uncertain, and
+/// a short burst is better served a little late than refused.
+const QUEUE_SHARE: f64 = 1.25;
+
 /// How a request is dealt with.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Verdict {
@@ -51,6 +56,8 @@
     pub expected: Duration,
     /// Time since the request arrived.
     pub elapsed: Duration,
+    /// The part of that time in which servers could have taken it.
+    pub queued: Duration,
     /// The time from arrival to the first token that callers expect.
     pub target: Duration,
     /// The time until the caller leaves or the route's time is up.
@@ -67,12 +74,13 @@
     Verdict::Serve { priority: engine_priority(prospect.rank, late) }
 }
 
-/// Returns the longest time to the first token that is of use: work for a caller who leaves before it
-/// only delays the others.
+/// Returns the longest time to the first token that is of use. Work for a caller who leaves before it
+/// only delays the others, and so does a longer queue: it serves as many, all of them late.
 fn longest_wait(prospect: &Prospect) -> Duration {
     let patience = (prospect.target * ABANDON_FACTOR).max(MIN_ABANDON).mul_f64(PATIENCE_SHARE);
+    let queue = prospect.target.mul_f64(QUEUE_SHARE).saturating_sub(prospect.queued);
     let in_time = prospect.left.mul_f64(FIRST_TOKEN_SHARE);
-    in_time.min(patience.saturating_sub(prospect.elapsed))
+    in_time.min(patience.saturating_sub(prospect.elapsed)).min(queue)
 }
 
 /// Returns the time after which a refused caller may come back, where `wait` is the time until there
