Prefer victims whose requests do not have to be waited for

A request under way counted as a hundredth of a server, a second of loading as five.

Change: where a victim is in use, its streams count as three seconds of loading when servers are compared.

--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -194,10 +194,12 @@
             continue;
         }
         let Some((unload, lost)) = victims(input, copies, server, spec) else { continue };
+        let is_used = |model: &Name| server.in_use.get(model).is_some_and(|requests| *requests > 0);
+        let drain = if unload.iter().any(is_used) { DRAIN_SECONDS } else { 0.0 };
         if lost * GAIN_FACTOR > value {
             continue;
         }
-        let seconds = load_time(spec, source).as_secs_f64();
+        let seconds = load_time(spec, source).as_secs_f64() + drain;
         let blocked = f64::from(server.adapter_requests) * BLOCKED_ADAPTER_COST;
         let cost =
             lost + seconds * (LOAD_SECOND_COST + blocked) + busy_share(input, copies, server);
@@ -212,6 +214,10 @@
 /// What each request under way at a copy that makes way costs, in servers' worth.
 const DRAIN_COST: f64 = 0.01;
 
+/// Requests at a copy that makes way keep it for about this long, in seconds: a stream of some hundred
+/// tokens on a busy server.
+const DRAIN_SECONDS: f64 = 3.0;
+
 /// What a second of loading costs in servers' worth when servers are compared.
 const LOAD_SECOND_COST: f64 = 0.05;
 
--- a/savoryport_core/tests/node_decisions.rs
+++ b/savoryport_core/tests/node_decisions.rs
@@ -400,6 +400,15 @@
     }
 
     fn next(&self, may_use_store: bool) -> Option<(Name, Name)> {
+        self.next_beside(may_use_store, &BTreeMap::new())
+    }
+
+    /// Returns the next load while so many requests use each model.
+    fn next_beside(
+        &self,
+        may_use_store: bool,
+        in_use: &BTreeMap<Name, u32>,
+    ) -> Option<(Name, Name)> {
         let class = class();
         let servers: Vec<PlacementServer<'_>> = self
             .servers
@@ -407,7 +416,7 @@
             .map(|server| PlacementServer {
                 server,
                 models: server.models.iter().map(|model| model.name.clone()).collect(),
-                in_use: BTreeMap::new(),
+                in_use: in_use.clone(),
                 adapter_requests: 0,
                 free_mb: class.memory_mb - 70_000.0 * server.models.len() as f64,
                 is_open: true,
@@ -440,6 +449,23 @@
     assert_eq!(domain.next(true), Some(("a".into(), "m2".into())));
 }
 
+#[test]
+fn a_copy_that_streams_do_not_use_makes_way_before_one_that_they_use() {
+    let three = ["m0", "m1", "m4"];
+    let mut domain = Domain::new(&[("a", &three), ("b", &three)], &["m0", "m1", "m2", "m4"]);
+    domain.demand.extend([("m2".into(), 0.4), ("m0".into(), 0.02)]);
+    // Server a holds a model that nobody asks for, but streams of it are under way.
+    domain.servers[1].models.retain(|model| &*model.name == "m0");
+    domain.servers[1].models.extend(server("b", "east", &["m3", "m5"]).models);
+    domain.holders.extend([
+        ("m3".into(), vec!["b".into(), "elsewhere".into()]),
+        ("m5".into(), vec!["b".into(), "elsewhere".into()]),
+    ]);
+    domain.demand.extend([("m3".into(), 0.05), ("m5".into(), 0.05)]);
+    let streams = BTreeMap::from([("m0".into(), 1), ("m1".into(), 1), ("m4".into(), 1)]);
+    assert_eq!(domain.next_beside(true, &streams), Some(("b".into(), "m2".into())));
+}
+
 #[test]
 fn a_single_request_moves_nothing() {
     let mut average = DemandAverage::default();
