--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -334,7 +334,7 @@
 }
 
 /// The time constant with which demand rises.
-const RISE: Duration = Duration::from_millis(1_000);
+const RISE: Duration = Duration::from_millis(2_000);
 
 /// The time constant with which demand falls.
 const FALL: Duration = Duration::from_secs(3);
