Bring copies by the demand of the region, each domain its part

Cause: each failure domain decided on copies by the demand of its own callers alone.

Change: holders of one region tell each other their demand. The copies that the region needs are parted among its domains by their parts of the demand; each finds its own part from the same figures. A copy next door counts as a copy.

--- a/savoryport/src/node/desk.rs
+++ b/savoryport/src/node/desk.rs
@@ -10,8 +10,8 @@
 use savoryport_core::node::duty::Duty;
 use savoryport_core::node::orders::EngineLedger;
 use savoryport_core::node::placement::{
-    DemandAverage, LoadAllowance, Missing, Move, PlacementInput, PlacementServer, WeightSource,
-    load_time, next_move, owner, weight_source,
+    DemandAverage, LoadAllowance, Missing, Move, Neighbour, PlacementInput, PlacementServer,
+    WeightSource, load_time, next_move, owner, weight_source,
 };
 use savoryport_core::node::registry::BackendServer;
 use smallvec::SmallVec;
@@ -124,6 +124,13 @@
         }
     }
 
+    /// Returns the demand of this node's failure domain, if this node decides for it.
+    pub fn demand(&self, cx: &NodeContext) -> Vec<(Name, f64)> {
+        let desks = self.0.lock().expect("no holder panics");
+        let Some(desk) = desks.get(&cx.settings.failure_domain) else { return Vec::new() };
+        desk.planner.lock().expect("no holder panics").demand.demand().into_iter().collect()
+    }
+
     /// Notes that requests wait for a model, and tells how long it will take.
     pub fn want_model(
         &self,
@@ -262,7 +269,15 @@
     let holders = holders_by_model(view, service);
     let missing = planner.missing(view, service, class, &desk.domain, &holders, now);
     let demand = planner.demand_with_wishes();
-    let needs = Needs { class, servers, holders: &holders, missing: &missing, demand: &demand };
+    let neighbours = neighbours(cx, view, service, &desk.domain);
+    let needs = Needs {
+        class,
+        servers,
+        holders: &holders,
+        missing: &missing,
+        demand: &demand,
+        neighbours: &neighbours,
+    };
     for _ in 0..MAX_MOVES_PER_LOOK {
         let chosen = planner.choose(cx, desk, &needs);
         let Some(chosen) = chosen else { return };
@@ -286,6 +301,7 @@
     holders: &'a HashMap<Name, Vec<Name>>,
     missing: &'a BTreeMap<Name, Missing>,
     demand: &'a HashMap<Name, f64>,
+    neighbours: &'a [Neighbour],
 }
 
 impl Planner {
@@ -326,7 +342,7 @@
     }
 
     fn choose(&mut self, cx: &NodeContext, desk: &Desk, needs: &Needs<'_>) -> Option<Move> {
-        let Needs { class, servers, holders, missing, demand } = *needs;
+        let Needs { class, servers, holders, missing, demand, neighbours } = *needs;
         let now = cx.now();
         let window = Duration::from_secs_f64(cx.settings.load_window_s);
         let domains = cx.settings.failure_domains.len();
@@ -372,7 +388,9 @@
             servers: &options,
             holders,
             missing,
+            domain: &desk.domain,
             demand,
+            neighbours,
             may_use_store,
             now,
         };
@@ -390,6 +408,24 @@
     }
 }
 
+/// Returns the other failure domains in the region of one, with their demand and copies.
+fn neighbours(cx: &NodeContext, view: &View, service: &Name, domain: &Name) -> Vec<Neighbour> {
+    let region = cx.settings.region_of(domain);
+    let others = engine_domains(view, service).into_iter().filter(|other| other != domain);
+    let near = others.filter(|other| region.is_some() && cx.settings.region_of(other) == region);
+    near.map(|other| {
+        let servers = view.servers.values().filter(|server| {
+            server.service == *service && server.failure_domain == other && server.is_ready()
+        });
+        let mut copies = HashMap::new();
+        for model in servers.flat_map(|server| &server.models) {
+            *copies.entry(model.name.clone()).or_default() += 1;
+        }
+        Neighbour { demand: cx.hub.demand_of(&other, cx.now()), domain: other, copies }
+    })
+    .collect()
+}
+
 /// Returns the ready servers that hold each model.
 fn holders_by_model(view: &View, service: &str) -> HashMap<Name, Vec<Name>> {
     let mut holders: HashMap<Name, Vec<Name>> = HashMap::new();
--- a/savoryport/src/node/hub.rs
+++ b/savoryport/src/node/hub.rs
@@ -41,12 +41,13 @@
 struct Told {
     loads: Loads,
     copies: Vec<CopyUse>,
+    demand: HashMap<Name, f64>,
     at: Instant,
 }
 
 impl Told {
     fn new(at: Instant) -> Self {
-        Self { loads: Loads::new(), copies: Vec::new(), at }
+        Self { loads: Loads::new(), copies: Vec::new(), demand: HashMap::new(), at }
     }
 }
 
@@ -63,7 +64,7 @@
             state.followers.remove(vm);
         } else {
             let loads = req.loads.iter().cloned().collect();
-            let told = Told { loads, copies: req.copies.clone(), at: now };
+            let told = Told { loads, copies: req.copies.clone(), ..Told::new(now) };
             state.followers.insert(vm.clone(), told);
         }
         state.add_work(&req.work_ms);
@@ -78,11 +79,21 @@
         told.at = now;
     }
 
-    /// Takes the copies at this domain's servers that another failure domain uses.
-    fn note_domain_copies(&self, domain: &Name, copies: Vec<CopyUse>, now: Instant) {
+    /// Takes the copies at this domain's servers that another failure domain uses, and its demand.
+    fn note_domain_needs(&self, req: &SyncRequest, now: Instant) {
         let mut state = self.lock();
-        let told = state.domains.entry(domain.clone()).or_insert_with(|| Told::new(now));
-        told.copies = copies;
+        let domain = req.member.failure_domain.clone();
+        let told = state.domains.entry(domain).or_insert_with(|| Told::new(now));
+        told.copies.clone_from(&req.copies);
+        told.demand = req.demand.iter().cloned().collect();
+    }
+
+    /// Returns the demand that another failure domain told lately.
+    pub fn demand_of(&self, domain: &str, now: Instant) -> HashMap<Name, f64> {
+        let state = self.lock();
+        let told = state.domains.get(domain);
+        let fresh = told.filter(|told| now.saturating_duration_since(told.at) < TOLD_LIFETIME);
+        fresh.map(|told| told.demand.clone()).unwrap_or_default()
     }
 
     /// Takes this node's own work and prompts.
@@ -176,7 +187,7 @@
                 let loads = req.loads.clone();
                 let asking = &req.member.failure_domain;
                 cx.hub.note_domain(asking, loads, now);
-                cx.hub.note_domain_copies(asking, req.copies.clone(), now);
+                cx.hub.note_domain_needs(&req, now);
                 cx.hub.loads_but(None, false, now)
             }
         };
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -90,6 +90,8 @@
     pub loads: Vec<(Name, ServerLoad)>,
     /// Milliseconds of work by model that arrived since the last call.
     pub work_ms: Vec<(Name, f64)>,
+    /// The demand for each model in servers' worth, from holders of the same region.
+    pub demand: Vec<(Name, f64)>,
     /// Copies in use.
     pub copies: Vec<CopyUse>,
     /// Prompts sent since the last call.
--- a/savoryport/src/node/settings.rs
+++ b/savoryport/src/node/settings.rs
@@ -227,6 +227,11 @@
         SocketAddr::new(self.ip_address, self.peers_port)
     }
 
+    /// Returns whether a failure domain is in this VM's region.
+    pub fn is_near(&self, failure_domain: &str) -> bool {
+        self.region_of(failure_domain) == Some(&self.region)
+    }
+
     /// Returns the region of a failure domain, if the settings name it.
     pub fn region_of(&self, failure_domain: &str) -> Option<&Name> {
         self.failure_domains.get(failure_domain)
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -118,6 +118,7 @@
         have: Position { config: cx.fleet.view().version(), ..following.have },
         loads: boards.loads.own().iter().map(|(server, load)| (server.clone(), *load)).collect(),
         work_ms: boards.work_ms.drain().collect(),
+        demand: Vec::new(),
         copies: boards.copies_in_use(),
         prompts: std::mem::take(&mut boards.prompts),
     }
@@ -248,6 +249,7 @@
         have: Position { config: cx.fleet.view().version(), ..have },
         loads: loads.into_iter().collect(),
         work_ms: Vec::new(),
+        demand: if cx.settings.is_near(domain) { cx.desks.demand(cx) } else { Vec::new() },
         copies: cx.copies_in_domain(domain),
         prompts: Vec::new(),
     };
--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -1,8 +1,8 @@
 //! Decides which model a failure domain loads next, and which copy makes way.
 //!
 //! Load pattern: demand that moves to models with a single copy, while the weight store serves only a
-//! few loads a second. Copies follow the work that callers of the domain ask for; the last copy of a
-//! model is never dropped, so that every model stays reachable.
+//! few loads a second. Copies follow the work that callers of the region ask for, in each domain by its
+//! part; the last copy of a model is never dropped, so that every model stays reachable.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -105,14 +105,29 @@
     pub holders: &'a HashMap<Name, Vec<Name>>,
     /// Models that nobody holds and this domain is to bring back.
     pub missing: &'a BTreeMap<Name, Missing>,
+    /// This domain.
+    pub domain: &'a Name,
     /// Work by model in servers' worth that callers of this domain ask for.
     pub demand: &'a HashMap<Name, f64>,
+    /// The other domains of the region.
+    pub neighbours: &'a [Neighbour],
     /// Whether the weight store may be asked now.
     pub may_use_store: bool,
     /// The present time.
     pub now: Instant,
 }
 
+/// Another failure domain of the region, whose servers are nearly as good as this domain's.
+#[derive(Debug, Clone, Default)]
+pub struct Neighbour {
+    /// Its name.
+    pub domain: Name,
+    /// Work by model in servers' worth that its callers ask for.
+    pub demand: HashMap<Name, f64>,
+    /// Copies by model.
+    pub copies: HashMap<Name, usize>,
+}
+
 /// A load, with the copies that make way for it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Move {
@@ -137,7 +152,7 @@
 
 /// Returns the most valuable load, if any is worth it.
 pub fn next_move(input: &PlacementInput<'_>) -> Option<Move> {
-    let copies = copies_in_domain(input.servers);
+    let copies = RegionCopies::count(input);
     let mut wanted: Vec<(&Name, f64)> = input
         .class
         .models
@@ -149,18 +164,70 @@
     wanted.into_iter().find_map(|(model, value)| best_server(input, &copies, model, value))
 }
 
-fn copies_in_domain(servers: &[PlacementServer<'_>]) -> BTreeMap<Name, usize> {
-    let mut copies = BTreeMap::new();
-    for model in servers.iter().flat_map(|server| &server.models) {
-        *copies.entry(model.clone()).or_default() += 1;
+/// Copies by model: in this domain, and in the whole region.
+#[derive(Debug, Default)]
+struct RegionCopies {
+    here: BTreeMap<Name, usize>,
+    region: BTreeMap<Name, usize>,
+}
+
+impl RegionCopies {
+    fn count(input: &PlacementInput<'_>) -> Self {
+        let mut copies = Self::default();
+        for model in input.servers.iter().flat_map(|server| &server.models) {
+            *copies.here.entry(model.clone()).or_default() += 1;
+        }
+        copies.region.clone_from(&copies.here);
+        for (model, count) in input.neighbours.iter().flat_map(|neighbour| &neighbour.copies) {
+            *copies.region.entry(model.clone()).or_default() += count;
+        }
+        copies
+    }
+
+    fn here(&self, model: &str) -> usize {
+        self.here.get(model).copied().unwrap_or(0)
     }
-    copies
+
+    fn region(&self, model: &str) -> usize {
+        self.region.get(model).copied().unwrap_or(0)
+    }
+}
+
+fn region_demand(input: &PlacementInput<'_>, model: &str) -> f64 {
+    let neighbours = input.neighbours.iter().filter_map(|neighbour| neighbour.demand.get(model));
+    input.demand.get(model).into_iter().chain(neighbours).sum()
+}
+
+/// Returns how many copies of a model this domain is to hold: its part of those that the region needs,
+/// by its part of the demand. Every domain finds the same parts from the same demand, so that together
+/// they bring as many as are needed.
+fn copies_due(input: &PlacementInput<'_>, model: &str) -> usize {
+    let demand = region_demand(input, model);
+    if demand < FIRST_COPY_SHARE {
+        return 0;
+    }
+    let needed = (demand / FULL_COPY_SHARE).ceil();
+    let own = input.demand.get(model).copied().unwrap_or(0.0);
+    let quota = |demand_there: f64| needed * demand_there / demand;
+    let domains = input.neighbours.iter().map(|neighbour| {
+        (&neighbour.domain, quota(neighbour.demand.get(model).copied().unwrap_or(0.0)))
+    });
+    let whole: f64 =
+        domains.clone().map(|(_, quota)| quota.floor()).sum::<f64>() + quota(own).floor();
+    let rest = quota(own).fract();
+    let ahead = domains
+        .filter(|(name, quota)| {
+            quota.fract() > rest || (quota.fract() == rest && *name < input.domain)
+        })
+        .count();
+    let left = (needed - whole).round() as usize;
+    quota(own).floor() as usize + usize::from(ahead < left)
 }
 
 /// Returns what one more copy of the model is worth, 0 where none is needed.
-fn copy_value(input: &PlacementInput<'_>, copies: &BTreeMap<Name, usize>, model: &Name) -> f64 {
-    let demand = input.demand.get(model).copied().unwrap_or(0.0);
-    let here = copies.get(model).copied().unwrap_or(0);
+fn copy_value(input: &PlacementInput<'_>, copies: &RegionCopies, model: &Name) -> f64 {
+    let demand = region_demand(input, model);
+    let (here, region) = (copies.here(model), copies.region(model));
     let anywhere = here > 0 || input.holders.get(model).is_some_and(|held| !held.is_empty());
     if !anywhere {
         return match input.missing.get(model) {
@@ -169,18 +236,13 @@
             None => 0.0,
         };
     }
-    let share = demand / here.max(1) as f64;
-    match here {
-        0 if demand >= FIRST_COPY_SHARE => demand,
-        0 => 0.0,
-        _ if share > FULL_COPY_SHARE => demand / (here + 1) as f64,
-        _ => 0.0,
-    }
+    let is_full = region == 0 || demand / region as f64 > FULL_COPY_SHARE;
+    if is_full && here < copies_due(input, model) { demand / (region + 1) as f64 } else { 0.0 }
 }
 
 fn best_server(
     input: &PlacementInput<'_>,
-    copies: &BTreeMap<Name, usize>,
+    copies: &RegionCopies,
     model: &Name,
     value: f64,
 ) -> Option<Move> {
@@ -228,21 +290,20 @@
 /// Returns the work that the server's other models bring it.
 fn busy_share(
     input: &PlacementInput<'_>,
-    copies: &BTreeMap<Name, usize>,
+    copies: &RegionCopies,
     server: &PlacementServer<'_>,
 ) -> f64 {
     server.models.iter().map(|model| copy_worth(input, copies, model)).sum()
 }
 
-fn copy_worth(input: &PlacementInput<'_>, copies: &BTreeMap<Name, usize>, model: &Name) -> f64 {
-    let demand = input.demand.get(model).copied().unwrap_or(0.0);
-    demand / copies.get(model).copied().unwrap_or(1).max(1) as f64
+fn copy_worth(input: &PlacementInput<'_>, copies: &RegionCopies, model: &Name) -> f64 {
+    region_demand(input, model) / copies.region(model).max(1) as f64
 }
 
 /// Returns the copies to drop for a model of this size, and what they are worth together.
 fn victims(
     input: &PlacementInput<'_>,
-    copies: &BTreeMap<Name, usize>,
+    copies: &RegionCopies,
     server: &PlacementServer<'_>,
     spec: &ModelSpec,
 ) -> Option<(SmallVec<[Name; 2]>, f64)> {
--- a/savoryport_core/tests/node_decisions.rs
+++ b/savoryport_core/tests/node_decisions.rs
@@ -14,8 +14,8 @@
 use savoryport_core::node::health::{HealthBoard, ServerOutcome};
 use savoryport_core::node::load::{LoadBoard, ServerLoad};
 use savoryport_core::node::placement::{
-    DemandAverage, LoadAllowance, Missing, PlacementInput, PlacementServer, WeightSource, anchor,
-    next_move, owner,
+    DemandAverage, LoadAllowance, Missing, Neighbour, PlacementInput, PlacementServer,
+    WeightSource, anchor, next_move, owner,
 };
 use savoryport_core::node::prefix::PrefixMap;
 use savoryport_core::node::registry::{BackendServer, Registry};
@@ -372,10 +372,12 @@
 
 /// A failure domain with its copies and demand.
 struct Domain {
+    name: Name,
     servers: Vec<BackendServer>,
     holders: HashMap<Name, Vec<Name>>,
     missing: BTreeMap<Name, Missing>,
     demand: HashMap<Name, f64>,
+    neighbours: Vec<Neighbour>,
     loaded_at: HashMap<Name, Instant>,
 }
 
@@ -391,10 +393,12 @@
             }
         }
         Self {
+            name: "east".into(),
             servers: servers.iter().map(|(id, models)| server(id, "east", models)).collect(),
             holders,
             missing: BTreeMap::new(),
             demand: HashMap::new(),
+            neighbours: Vec::new(),
             loaded_at: HashMap::new(),
         }
     }
@@ -428,7 +432,9 @@
             servers: &servers,
             holders: &self.holders,
             missing: &self.missing,
+            domain: &self.name,
             demand: &self.demand,
+            neighbours: &self.neighbours,
             may_use_store,
             now: Instant::now(),
         };
@@ -449,6 +455,40 @@
     assert_eq!(domain.next(true), Some(("a".into(), "m2".into())));
 }
 
+#[test]
+fn the_domains_of_a_region_bring_as_many_copies_as_their_callers_need_together() {
+    // Each of three domains asks for a quarter of a server's work: two copies serve them all.
+    let domains: [Name; 3] = ["east".into(), "north".into(), "south".into()];
+    let asked = HashMap::from([("m2".into(), 0.25)]);
+    let loads = domains.iter().filter(|own| {
+        let mut domain = Domain::new(&[("a", &["m0", "m1"])], &["m2"]);
+        domain.name = (*own).clone();
+        domain.demand.clone_from(&asked);
+        let others = domains.iter().filter(|name| name != own).map(|name| Neighbour {
+            domain: name.clone(),
+            demand: asked.clone(),
+            ..Neighbour::default()
+        });
+        domain.neighbours = others.collect();
+        domain.next(true).is_some()
+    });
+    assert_eq!(loads.count(), 2);
+}
+
+#[test]
+fn a_copy_in_the_next_domain_of_the_region_serves_a_first_request_here() {
+    let mut domain = Domain::new(&[("a", &["m0", "m1"])], &["m2"]);
+    domain.demand.insert("m2".into(), 0.2);
+    domain.neighbours = vec![Neighbour {
+        domain: "north".into(),
+        copies: HashMap::from([("m2".into(), 1)]),
+        ..Neighbour::default()
+    }];
+    assert_eq!(domain.next(true), None);
+    domain.demand.insert("m2".into(), 0.6);
+    assert_eq!(domain.next(true), Some(("a".into(), "m2".into())));
+}
+
 #[test]
 fn a_copy_that_streams_do_not_use_makes_way_before_one_that_they_use() {
     let three = ["m0", "m1", "m4"];
