--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -15,7 +15,7 @@
 use crate::node::registry::BackendServer;
 
 /// The share of a server's time that one copy serves before another one is worth a load.
-const FULL_COPY_SHARE: f64 = 0.35;
+const FULL_COPY_SHARE: f64 = 0.45;
 
 /// The work in servers' worth from which a domain without a copy gets one of its own. Single requests
 /// stay below it.
