--- a/savoryport/src/node/desk.rs
+++ b/savoryport/src/node/desk.rs
@@ -1,37 +1,22 @@
 //! The duty of giving orders to the servers of one failure domain.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use savoryport_core::Name;
-use savoryport_core::node::deployment::EngineClass;
 use savoryport_core::node::duty::Duty;
 use savoryport_core::node::orders::EngineLedger;
-use savoryport_core::node::placement::{
-    DemandAverage, LoadAllowance, Missing, Move, Neighbour, PlacementInput, PlacementServer,
-    WeightSource, load_time, next_move, owner, weight_source,
-};
+use savoryport_core::node::placement::{Move, WeightSource, load_time, weight_source};
 use savoryport_core::node::registry::BackendServer;
-use smallvec::SmallVec;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
 use super::context::NodeContext;
 use super::engine::{Command, EngineHandle};
+use super::planner::{Planner, plan};
 use super::rpc::WishReply;
-use super::view::View;
-
-/// A wish for a model that nobody holds counts as demand for this long.
-const WISH_LIFETIME: Duration = Duration::from_millis(1_500);
-
-/// A model that nobody asks for is restored when it was missing for this long: servers that start
-/// register within a heartbeat or two, and their models with them.
-const RESTORE_AFTER: Duration = Duration::from_secs(3);
-
-/// Loads that one look at the placement may begin.
-const MAX_MOVES_PER_LOOK: usize = 4;
 
 /// The time that an adapter may take before a request looks elsewhere.
 const ADAPTER_PATIENCE: Duration = Duration::from_millis(400);
@@ -54,18 +39,8 @@
     pub lease: AtomicU64,
     duty: Mutex<Duty>,
     engines: Mutex<HashMap<Name, EngineHandle>>,
-    planner: Mutex<Planner>,
-}
-
-#[derive(Debug, Default)]
-struct Planner {
-    demand: DemandAverage,
-    allowance: Option<LoadAllowance>,
-    /// Models that no server holds, and since when.
-    missing_since: HashMap<Name, Instant>,
-    /// Models that requests wait for, and since when.
-    wishes: HashMap<Name, Instant>,
-    loaded_at: HashMap<Name, HashMap<Name, Instant>>,
+    /// What its placement remembers.
+    pub planner: Mutex<Planner>,
 }
 
 impl Desks {
@@ -189,12 +164,18 @@
         self.lease.load(Ordering::Relaxed)
     }
 
-    fn engine(&self, server: &str) -> Option<EngineHandle> {
+    /// Returns the handle of an engine.
+    pub fn engine(&self, server: &str) -> Option<EngineHandle> {
         self.engines.lock().expect("no holder panics").get(server).cloned()
     }
 
+    /// Returns the handles of all engines.
+    pub fn handles(&self) -> MutexGuard<'_, HashMap<Name, EngineHandle>> {
+        self.engines.lock().expect("no holder panics")
+    }
+
     /// Starts tasks for new engines and drops those of engines that are gone.
-    fn follow_servers(self: &Arc<Self>, cx: &Arc<NodeContext>, servers: &[Arc<BackendServer>]) {
+    pub fn follow_servers(self: &Arc<Self>, cx: &Arc<NodeContext>, servers: &[Arc<BackendServer>]) {
         let mut engines = self.engines.lock().expect("no holder panics");
         engines.retain(|id, _| servers.iter().any(|server| server.id == *id));
         for server in servers {
@@ -211,240 +192,6 @@
     }
 }
 
-/// Looks at the placement of models from time to time.
-async fn plan(cx: Arc<NodeContext>, desk: Arc<Desk>) {
-    let period = Duration::from_millis(cx.settings.placement_period_ms);
-    loop {
-        tokio::time::sleep(period).await;
-        let view = cx.fleet.view();
-        let Some(deployment) = view.deployment() else { continue };
-        for service in deployment.services.values() {
-            let Some(class) = &service.engine else { continue };
-            let servers: Vec<Arc<BackendServer>> = view
-                .servers
-                .values()
-                .filter(|server| server.service == service.name)
-                .filter(|server| server.failure_domain == desk.domain && server.is_ready())
-                .cloned()
-                .collect();
-            desk.follow_servers(&cx, &servers);
-            if desk.may_order(&cx).is_some() {
-                note_copy_uses(&cx, &desk);
-                look(&cx, &desk, &view, &service.name, class, &servers);
-            }
-        }
-    }
-}
-
-fn note_copy_uses(cx: &NodeContext, desk: &Desk) {
-    let engines = desk.engines.lock().expect("no holder panics");
-    for engine in engines.values() {
-        engine.ledger().clear_uses();
-    }
-    let own = cx.boards.lock().copies_in_use();
-    for usage in cx.hub.copies_in_use().into_iter().chain(own) {
-        if let Some(engine) = engines.get(&usage.server) {
-            let mut ledger = engine.ledger();
-            let adapter = usage.adapter.as_deref();
-            ledger.note_use(&usage.model, adapter, usage.requests, cx.now());
-        }
-    }
-}
-
-fn look(
-    cx: &NodeContext,
-    desk: &Desk,
-    view: &View,
-    service: &Name,
-    class: &EngineClass,
-    servers: &[Arc<BackendServer>],
-) {
-    let now = cx.now();
-    let mut planner = desk.planner.lock().expect("no holder panics");
-    if desk.domain == cx.settings.failure_domain {
-        let work = cx.hub.take_work();
-        planner.demand.observe(&work, now);
-    }
-    planner.wishes.retain(|_, at| now.saturating_duration_since(*at) < WISH_LIFETIME);
-    let holders = holders_by_model(view, service);
-    let missing = planner.missing(view, service, class, &desk.domain, &holders, now);
-    let demand = planner.demand_with_wishes();
-    let neighbours = neighbours(cx, view, service, &desk.domain);
-    let needs = Needs {
-        class,
-        servers,
-        holders: &holders,
-        missing: &missing,
-        demand: &demand,
-        neighbours: &neighbours,
-    };
-    for _ in 0..MAX_MOVES_PER_LOOK {
-        let chosen = planner.choose(cx, desk, &needs);
-        let Some(chosen) = chosen else { return };
-        planner.note(&chosen, now);
-        cx.metrics.loads.inc();
-        log::info!(
-            server = &*chosen.server, model = &*chosen.load, source:? = chosen.source,
-            unload:? = chosen.unload, value = chosen.value; "move decided"
-        );
-        if let Some(engine) = desk.engine(&chosen.server) {
-            engine.send(Command::Move(chosen));
-        }
-    }
-}
-
-/// What the servers of a domain hold and are asked for at one look.
-#[derive(Debug, Clone, Copy)]
-struct Needs<'a> {
-    class: &'a EngineClass,
-    servers: &'a [Arc<BackendServer>],
-    holders: &'a HashMap<Name, Vec<Name>>,
-    missing: &'a BTreeMap<Name, Missing>,
-    demand: &'a HashMap<Name, f64>,
-    neighbours: &'a [Neighbour],
-}
-
-impl Planner {
-    /// Returns the models that nobody holds and this domain is to bring back.
-    fn missing(
-        &mut self,
-        view: &View,
-        service: &Name,
-        class: &EngineClass,
-        domain: &str,
-        holders: &HashMap<Name, Vec<Name>>,
-        now: Instant,
-    ) -> BTreeMap<Name, Missing> {
-        let domains = engine_domains(view, service);
-        self.missing_since.retain(|model, _| !holders.contains_key(model));
-        let mut missing = BTreeMap::new();
-        for model in class.models.keys().filter(|model| !holders.contains_key(*model)) {
-            let since = *self.missing_since.entry(model.clone()).or_insert(now);
-            let is_owned = owner(model, domains.iter()).is_some_and(|owner| &**owner == domain);
-            if self.wishes.contains_key(model) {
-                missing.insert(model.clone(), Missing::Awaited);
-            } else if is_owned && now.saturating_duration_since(since) >= RESTORE_AFTER {
-                missing.insert(model.clone(), Missing::Unasked);
-            }
-        }
-        missing
-    }
-
-    fn demand_with_wishes(&self) -> HashMap<Name, f64> {
-        /// The demand that a wish stands for, enough for a first copy.
-        const WISH_DEMAND: f64 = 0.1;
-        let mut demand = self.demand.demand();
-        for model in self.wishes.keys() {
-            let known = demand.entry(model.clone()).or_default();
-            *known = known.max(WISH_DEMAND);
-        }
-        demand
-    }
-
-    fn choose(&mut self, cx: &NodeContext, desk: &Desk, needs: &Needs<'_>) -> Option<Move> {
-        let Needs { class, servers, holders, missing, demand, neighbours } = *needs;
-        let now = cx.now();
-        let window = Duration::from_secs_f64(cx.settings.load_window_s);
-        let domains = cx.settings.failure_domains.len();
-        let allowance = self.allowance.get_or_insert_with(|| {
-            let mut allowance = LoadAllowance::new(class.loads_per_s, window, domains);
-            if !cx.settings.first_start {
-                allowance.assume_used(now);
-            }
-            allowance
-        });
-        let may_use_store = allowance.may_begin(now);
-        let no_loads = HashMap::new();
-        let options: Vec<PlacementServer<'_>> = servers
-            .iter()
-            .filter_map(|server| {
-                let engine = desk.engine(&server.id)?;
-                let ledger = engine.ledger();
-                let moving = engine.moving();
-                let mut models: SmallVec<[Name; 4]> = ledger.models().cloned().collect();
-                if let Some(moving) = &moving {
-                    // What a move will bring counts at once, or the next look would decide it again.
-                    models.retain(|model| !moving.unload.contains(model));
-                    if !models.contains(&moving.load) {
-                        models.push(moving.load.clone());
-                    }
-                }
-                let in_use = ledger.requests_by_model();
-                let is_open =
-                    moving.is_none() && ledger.expected_orders().is_some() && !ledger.is_busy(now);
-                Some(PlacementServer {
-                    server,
-                    models,
-                    in_use,
-                    adapter_requests: ledger.adapter_requests(),
-                    free_mb: ledger.free_mb(class),
-                    is_open,
-                    loaded_at: self.loaded_at.get(&server.id).unwrap_or(&no_loads),
-                })
-            })
-            .collect();
-        let input = PlacementInput {
-            class,
-            servers: &options,
-            holders,
-            missing,
-            domain: &desk.domain,
-            demand,
-            neighbours,
-            may_use_store,
-            now,
-        };
-        next_move(&input)
-    }
-
-    fn note(&mut self, chosen: &Move, now: Instant) {
-        if chosen.source == WeightSource::Store
-            && let Some(allowance) = &mut self.allowance
-        {
-            allowance.begin(now);
-        }
-        let loaded = self.loaded_at.entry(chosen.server.clone()).or_default();
-        loaded.insert(chosen.load.clone(), now);
-    }
-}
-
-/// Returns the other failure domains in the region of one, with their demand and copies.
-fn neighbours(cx: &NodeContext, view: &View, service: &Name, domain: &Name) -> Vec<Neighbour> {
-    let region = cx.settings.region_of(domain);
-    let others = engine_domains(view, service).into_iter().filter(|other| other != domain);
-    let near = others.filter(|other| region.is_some() && cx.settings.region_of(other) == region);
-    near.map(|other| {
-        let servers = view.servers.values().filter(|server| {
-            server.service == *service && server.failure_domain == other && server.is_ready()
-        });
-        let mut copies = HashMap::new();
-        for model in servers.flat_map(|server| &server.models) {
-            *copies.entry(model.name.clone()).or_default() += 1;
-        }
-        Neighbour { demand: cx.hub.demand_of(&other, cx.now()), domain: other, copies }
-    })
-    .collect()
-}
-
-/// Returns the ready servers that hold each model.
-fn holders_by_model(view: &View, service: &str) -> HashMap<Name, Vec<Name>> {
-    let mut holders: HashMap<Name, Vec<Name>> = HashMap::new();
-    let servers = view.servers.values().filter(|server| &*server.service == service);
-    for server in servers.filter(|server| server.is_ready()) {
-        for model in &server.models {
-            holders.entry(model.name.clone()).or_default().push(server.id.clone());
-        }
-    }
-    holders
-}
-
-/// Returns the failure domains that have ready servers of a service.
-pub fn engine_domains(view: &View, service: &str) -> BTreeSet<Name> {
-    let servers = view.servers.values().filter(|server| &*server.service == service);
-    let ready = servers.filter(|server| server.is_ready());
-    ready.map(|server| server.failure_domain.clone()).collect()
-}
-
 impl Desk {
     /// Returns what the desk knows of its engines, for the status page.
     pub fn engines(&self) -> Vec<(Name, EngineLedger, Option<Move>)> {
--- a/savoryport/src/node/dispatch.rs
+++ b/savoryport/src/node/dispatch.rs
@@ -13,7 +13,7 @@
 use savoryport_core::node::selection::{Candidate, Demanded, Distance, choose};
 
 use super::answer::{Cause, Refusal};
-use super::desk::engine_domains;
+use super::planner::engine_domains;
 use super::relay::Relay;
 use super::rpc::WishReply;
 use super::view::View;
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -21,6 +21,7 @@
 mod intake;
 mod metrics;
 mod peers;
+mod planner;
 pub mod prompts;
 pub mod reader;
 mod relay;
