Test that engines which restart under their ids are filled again

Cause: a restarted server keeps its id, and its order giver kept the ledger of the former start: its copies went on counting as copies, so nobody brought them back. On sites with adapters the next order for one was refused and cleared this up; without adapters the model stayed away for good.

--- a/savoryport/tests/node_requests.rs
+++ b/savoryport/tests/node_requests.rs
@@ -101,6 +101,20 @@
     }
 }
 
+#[test]
+fn engines_that_restart_under_their_ids_are_filled_again() {
+    /// Models that nobody asks for are brought back after three seconds; one that is asked for must not
+    /// wait for that.
+    const ASKED_FOR: Duration = Duration::from_millis(2_500);
+    let mut site = NodeSite::start(1);
+    assert_eq!(site.get(0, "before", Ask::Draft("m0")).status, 200);
+    site.restart_engines();
+    let restarted = Instant::now();
+    site.wait("the model is back", |site| site.get(0, "after", Ask::Draft("m0")).status == 200);
+    assert!(restarted.elapsed() < ASKED_FOR, "{:?}", restarted.elapsed());
+    assert!(site.servers.iter().all(|server| server.overcommitted() == 0));
+}
+
 #[test]
 fn requests_go_on_while_the_store_is_away() {
     let site = NodeSite::start(2);
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -47,6 +47,8 @@
     pub servers: Vec<BackendStandin>,
     pub nodes: Vec<SiteNode>,
     pub version: u64,
+    /// Servers that were started, which tells their incarnations apart.
+    starts: u64,
     _dir: TempDir,
 }
 
@@ -77,8 +79,14 @@
     pub fn start(nodes: usize) -> Self {
         let dir = TempDir::new().expect("a temporary directory");
         let store = MetadataStandin::start("127.0.0.1:0");
-        let mut site =
-            Self { store, servers: Vec::new(), nodes: Vec::new(), version: 1, _dir: dir };
+        let mut site = Self {
+            store,
+            servers: Vec::new(),
+            nodes: Vec::new(),
+            version: 1,
+            starts: 0,
+            _dir: dir,
+        };
         site.write_config();
         for number in 0..4 {
             let models: &[&str] = if number < 2 { &["m0", "m1"] } else { &["m0", "m2"] };
@@ -152,10 +160,24 @@
             events: 8,
             pace: Duration::from_millis(10),
         };
-        let born = 1_000 + self.servers.len() as u64;
+        self.starts += 1;
+        let born = 1_000 + self.starts;
         self.servers.push(BackendStandin::start("127.0.0.1:0", config, &self.store, born));
     }
 
+    /// Replaces the engines by ones that started anew under the same ids and hold nothing.
+    pub fn restart_engines(&mut self) {
+        let is_engine = |server: &BackendStandin| server.id().starts_with("engine-");
+        let ids: Vec<String> = self
+            .servers
+            .extract_if(.., |server| is_engine(server))
+            .map(|server| server.id().to_owned())
+            .collect();
+        for id in ids {
+            self.add_server(&id, "drafts", &[]);
+        }
+    }
+
     /// Returns a server by its id.
     pub fn server(&self, id: &str) -> &BackendStandin {
         self.servers.iter().find(|server| server.id() == id).expect("a known server")
