--- a/savoryport/src/node/intake.rs
+++ b/savoryport/src/node/intake.rs
@@ -50,6 +50,8 @@
             keys,
             arrived,
             queued_since: arrived,
+            last_piece: None,
+            longest_gap: Duration::ZERO,
             ends,
             method: parts.method,
             target,
--- a/savoryport/src/node/relay.rs
+++ b/savoryport/src/node/relay.rs
@@ -54,6 +54,10 @@
     pub(super) arrived: Instant,
     /// Since when some server could have taken it.
     pub(super) queued_since: Instant,
+    /// When the last piece of a stream came.
+    pub(super) last_piece: Option<Instant>,
+    /// The longest pause between two pieces of a stream.
+    pub(super) longest_gap: Duration,
     pub(super) ends: Instant,
     pub(super) method: Method,
     pub(super) target: String,
@@ -202,6 +206,7 @@
             attempts = self.tried.len(), outcome = outcome, status = status,
             elapsed_ms = elapsed.as_millis() as u64,
             expected_ms = self.expected.as_millis() as u64,
+            longest_gap_ms = self.longest_gap.as_millis() as u64,
             first_token_ms = self.first_token.map_or(0, |took| took.as_millis() as u64),
             retry_after_ms = retry_after.map_or(0, |wait| wait.as_millis() as u64),
             config = self.deployment.version; "request ended"
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -182,7 +182,11 @@
     fn note_first_token(&mut self, opened: &mut Opened) {
         opened.flight.first_token();
         let relay = &mut self.relay;
-        relay.first_token.get_or_insert_with(|| relay.cx.now() - relay.arrived);
+        let now = relay.cx.now();
+        relay.first_token.get_or_insert(now - relay.arrived);
+        if let Some(last) = relay.last_piece.replace(now) {
+            relay.longest_gap = relay.longest_gap.max(now - last);
+        }
     }
 
     /// Passes bytes on; those of a resumable stream event by event.
