--- a/savoryport_core/src/node/selection.rs
+++ b/savoryport_core/src/node/selection.rs
@@ -26,10 +26,6 @@
 /// Added for each request that runs at a server: each one lengthens every step of the batch.
 const MS_PER_RUNNING: f64 = 0.5;
 
-/// The share of a prefill that is added for each request that runs at a server: its events pause while
-/// the prompt is read.
-const PREFILL_PER_STREAM: f64 = 0.02;
-
 /// Added for the whole failure rate of a server, so that a failing one gets little work.
 const MS_PER_FAILURE_RATE: f64 = 3_000.0;
 
@@ -241,14 +237,13 @@
     };
     let adapter_ms = cx.costs.adapter_load_ms * f64::from(candidate.adapter_orders);
     let failures_ms = cx.health.failure_rate(&server.id) * MS_PER_FAILURE_RATE;
-    let streams_ms = own_ms * f64::from(load.running) * PREFILL_PER_STREAM;
     let total_ms = expected_ms + distance_ms + adapter_ms;
     Choice {
         candidate,
         prefill_ms: (own_ms * slowness) as f32,
         copy_from,
         expected: Duration::from_secs_f64(total_ms / 1e3),
-        cost_ms: total_ms + failures_ms + streams_ms,
+        cost_ms: total_ms + failures_ms,
     }
 }
 
