Let a stream that has begun go on whatever its time in the queue

A stream that broke off later than 1.25 times its target was refused its next server and ended broken.

Change: a stream that has begun is judged by what is expected and by the time left alone. That it stays broken is logged with the cause, which was dropped before.

--- a/savoryport/src/node/dispatch.rs
+++ b/savoryport/src/node/dispatch.rs
@@ -169,11 +169,13 @@
         let demanded = self.demanded();
         let options = candidates.iter().map(|(candidate, _)| *candidate);
         let Some(choice) = choose(options, &demanded, &selection) else { return Look::NoServer };
+        // Who has a part of a stream waits for the rest longer than for a first event.
+        let has_begun = self.first_token.is_some();
         let prospect = Prospect {
             rank: self.route.rank,
             expected: choice.expected,
-            elapsed: now - self.arrived,
-            queued: now - self.queued_since,
+            elapsed: if has_begun { Duration::ZERO } else { now - self.arrived },
+            queued: if has_begun { Duration::ZERO } else { now - self.queued_since },
             target: self.route.target,
             left: self.left(),
         };
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -114,9 +114,19 @@
         self.cutter = EventCutter::default();
         while self.may_resume() && !self.relay.left().is_zero() {
             let picked = tokio::select! {
-                picked = self.relay.pick() => picked.ok()?,
+                picked = self.relay.pick() => picked,
                 () = self.pieces.closed() => return None,
             };
+            let picked = match picked {
+                Ok(picked) => picked,
+                Err(refusal) => {
+                    log::info!(
+                        request = &*self.relay.head.id, cause = refusal.cause.name(),
+                        expected_ms = self.relay.expected.as_millis() as u64; "stream stays broken"
+                    );
+                    return None;
+                }
+            };
             log::info!(
                 request = &*self.relay.head.id, server = &*picked.server.id,
                 after = self.last_event.unwrap_or(0); "stream goes on elsewhere"
--- a/savoryport/tests/node_requests.rs
+++ b/savoryport/tests/node_requests.rs
@@ -101,6 +101,23 @@
     }
 }
 
+#[test]
+fn a_stream_that_breaks_late_goes_on_though_a_new_one_would_be_refused_by_then() {
+    let mut site = NodeSite::start(1);
+    // The third event comes after 1.2 s, more than twice the target of the first.
+    for number in 0..3 {
+        let id = format!("engine-{number}");
+        site.slow_down(&id, Duration::from_millis(400));
+        site.server(&id).set_fault(BackendFault::BreaksStreams);
+    }
+    let whole = (0..6).filter(|number| {
+        let id = format!("late-{number}");
+        site.get(0, &id, Ask::Draft("m0")).body == Some(whole_stream(&id))
+    });
+    // A stream that breaks off at two servers has no third one to go on at.
+    assert!(whole.count() >= 3);
+}
+
 #[test]
 fn engines_that_restart_under_their_ids_are_filled_again() {
     /// Models that nobody asks for are brought back after three seconds; one that is asked for must not
--- a/savoryport_core/src/node/admission.rs
+++ b/savoryport_core/src/node/admission.rs
@@ -54,7 +54,7 @@
     pub rank: u8,
     /// The expected time to the first token from now.
     pub expected: Duration,
-    /// Time since the request arrived.
+    /// Time that the caller has waited for a first event.
     pub elapsed: Duration,
     /// The part of that time in which servers could have taken it.
     pub queued: Duration,
