Leave a slow or silent server only for one that takes the request

That a silence ends an answer sooner than its server does is not allowed, and helps nobody.

Change: a request leaves its server only while another one would take it and the budget has a repeat for it; otherwise it waits until its time is up.

Two tests with an engine that nobody can stand in for fail without the change (a cut stream, a 502) and pass with it; all 20 of node_requests pass, one run.

--- a/savoryport/src/node/dispatch.rs
+++ b/savoryport/src/node/dispatch.rs
@@ -149,6 +149,13 @@
         self.deployment.services.get(&self.service)?.engine.as_ref()
     }
 
+    /// Returns whether another server would take the request now. Without one, leaving a server that is
+    /// slow or silent only ends the request.
+    pub(super) fn has_alternative(&self) -> bool {
+        let has_repeat = self.cx.boards.lock().budget.has_repeat(&self.service);
+        has_repeat && matches!(self.look(&[]), Look::Picked(..))
+    }
+
     fn look(&self, without_place: &[Name]) -> Look {
         let view = self.cx.fleet.view();
         let mut candidates = self.candidates(&view);
--- a/savoryport/src/node/relay.rs
+++ b/savoryport/src/node/relay.rs
@@ -323,8 +323,8 @@
     }
 
     /// Waits for the beginning of an answer. A request that may go elsewhere does so soon if its server
-    /// sends nothing to any request of this node; one at a server that is only slow waits longer, since a second
-    /// prefill would make all others slower still.
+    /// sends nothing to any request of this node; one at a server that is only slow waits longer, since
+    /// a second prefill would make all others slower still. Nobody leaves for nowhere.
     async fn with_patience<T>(
         &self,
         picked: &Picked,
@@ -342,12 +342,19 @@
             if let Ok(answer) = tokio::time::timeout(stall, answer.as_mut()).await {
                 return Some(answer);
             }
-            if !self.cx.boards.lock().health.was_heard_since(&picked.server.id, sent_at) {
+            let heard = self.cx.boards.lock().health.was_heard_since(&picked.server.id, sent_at);
+            if !heard && self.has_alternative() {
                 return None;
             }
         }
         let patience = self.left().mul_f64(LONG_PATIENCE_SHARE);
-        tokio::time::timeout(patience, answer).await.ok()
+        if let Ok(answer) = tokio::time::timeout(patience, answer.as_mut()).await {
+            return Some(answer);
+        }
+        if self.has_alternative() {
+            return None;
+        }
+        tokio::time::timeout(self.left(), answer).await.ok()
     }
 
     fn request(&self, picked: &Picked, resume_after: Option<u64>) -> Request<Full<Bytes>> {
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -159,7 +159,7 @@
                 frame = tokio::time::timeout(gap, opened.body.frame()) => frame,
                 () = self.pieces.closed() => return End::CallerLeft,
             };
-            if frame.is_err() && !self.relay.left().is_zero() && !self.is_silent(opened) {
+            if frame.is_err() && !self.relay.left().is_zero() && !self.should_leave(opened) {
                 continue;
             }
             let data = match frame {
@@ -182,12 +182,12 @@
         self.is_resumable && (relay.tried.len() as u32) < relay.route.max_attempts
     }
 
-    /// Returns whether the stream can go on elsewhere and its server is silent to all requests of this
-    /// node.
-    fn is_silent(&self, opened: &Opened) -> bool {
+    /// Returns whether the server is silent to all requests of this node and another one would go on.
+    fn should_leave(&self, opened: &Opened) -> bool {
         let cx = &self.relay.cx;
         let since = cx.now() - MAX_GAP;
-        self.may_resume() && !cx.boards.lock().health.was_heard_since(opened.flight.server(), since)
+        let heard = cx.boards.lock().health.was_heard_since(opened.flight.server(), since);
+        !heard && self.may_resume() && self.relay.has_alternative()
     }
 
     fn note_first_token(&mut self, opened: &mut Opened) {
--- a/savoryport/tests/node_requests.rs
+++ b/savoryport/tests/node_requests.rs
@@ -120,6 +120,36 @@
     assert_eq!(site.server("late-a").runs_of("late"), 1);
 }
 
+/// Starts a node with one engine that holds `m3`, has this fault, and has nobody to stand in for it.
+fn site_with_a_lone_engine(fault: BackendFault) -> NodeSite {
+    let mut site = NodeSite::start(1);
+    site.models.push(("m3", 0.4));
+    site.add_server("lone", "drafts", &["m3"]);
+    site.server("lone").set_fault(fault);
+    site.write_config();
+    site.wait("the engine is known", |site| site.nodes[0].status().contains("lone"));
+    site
+}
+
+#[test]
+fn a_stream_is_not_cut_off_for_its_servers_silence_where_nobody_else_takes_it() {
+    let pause = Duration::from_millis(2_000);
+    let site = site_with_a_lone_engine(BackendFault::Stalls { before: 3, pause });
+    let draft = site.get(0, "silent", Ask::Draft("m3"));
+    assert_eq!((draft.status, draft.body), (200, Some(whole_stream("silent"))));
+    assert_eq!(site.runs_of("silent"), 1);
+}
+
+#[test]
+fn a_slow_first_event_is_waited_for_where_nobody_else_takes_the_request() {
+    // More than half of the route's time, after which a request may go elsewhere.
+    let pause = Duration::from_millis(2_500);
+    let site = site_with_a_lone_engine(BackendFault::Stalls { before: 1, pause });
+    let draft = site.get(0, "slow", Ask::Draft("m3"));
+    assert_eq!((draft.status, draft.body), (200, Some(whole_stream("slow"))));
+    assert_eq!(site.runs_of("slow"), 1);
+}
+
 #[test]
 fn a_request_that_waits_for_its_model_is_served_when_the_model_comes() {
     /// Longer than the time for which a request may queue at the servers.
--- a/savoryport_core/src/node/budget.rs
+++ b/savoryport_core/src/node/budget.rs
@@ -57,6 +57,11 @@
         may
     }
 
+    /// Returns whether a repeat could be taken now.
+    pub fn has_repeat(&self, service: &str) -> bool {
+        self.left.get(service).copied().unwrap_or(self.cap()) >= 1.0
+    }
+
     fn cap(&self) -> f64 {
         self.bound.extra * Self::USED_SHARE / self.nodes as f64
     }
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -48,6 +48,13 @@
     LosesAnswers,
     /// It breaks a stream off in the middle of its third event.
     BreaksStreams,
+    /// It pauses once before this event of each stream.
+    Stalls {
+        /// The event, counted from 1.
+        before: u64,
+        /// The pause.
+        pause: Duration,
+    },
     /// It answers with a failure of its own.
     Fails,
     /// It answers with the id of another request.
@@ -310,6 +317,11 @@
     );
     for event in first..=cfg.events {
         let mut piece = format!("id: {event}\ndata: event {event} of {id}\n\n");
+        if let BackendFault::Stalls { before, pause } = fault
+            && before == event
+        {
+            std::thread::sleep(pause);
+        }
         let breaks = fault == BackendFault::BreaksStreams && event == BREAKS_AT;
         if breaks {
             piece.truncate(piece.len() / 2);
