Keep copies until demand is known, and load rare models in turn

In the ten seconds before traffic, models that nobody had asked for took the place of copies that the operator had laid out for the busiest ones. Once loaded, the last copy of a rare model was never given up, so that later ones found no place. The time to generate counted as 0.05 ms a token, a quarter of what streams took. Each failure domain rounded its part of the weight store's rate down, or up to one load where it had none.

Change: a copy keeps a minimum value until demand has been observed for a while; an unused last copy makes room for a model that requests wait for, but not for more copies of a busy one; the time of streams is measured and counts as demand; the parts of the store's rate add up to it; a domain that cannot load a model soon leaves it to the next one; large batches cost in the choice of a server.

--- a/savoryport/src/node/planner.rs
+++ b/savoryport/src/node/planner.rs
@@ -20,7 +20,11 @@
 use super::view::FleetView;
 
 /// How long a request for a model that no server holds counts as demand.
-const REQUEST_LIFETIME: Duration = Duration::from_millis(1_500);
+const REQUEST_LIFETIME: Duration = Duration::from_millis(2_000);
+
+/// The longest time for which a load waits for its turn at the weight store. Another domain is asked
+/// instead of waiting longer.
+const MAX_LOAD_DELAY: Duration = Duration::from_millis(1_200);
 
 /// How long a model without demand must be missing before it is loaded again. Servers that start
 /// register themselves and their models within one or two heartbeats.
@@ -173,6 +177,49 @@
         demand
     }
 
+    fn load_limiter(
+        &mut self,
+        cx: &NodeContext,
+        class: &EngineClass,
+        domain: &str,
+    ) -> &mut LoadRateLimiter {
+        self.load_limiter.get_or_insert_with(|| {
+            let domains = &cx.settings.failure_domains;
+            let index = domains.keys().position(|known| &**known == domain).unwrap_or(0);
+            let window = Duration::from_secs_f64(cx.settings.load_window_s);
+            let mut limiter = LoadRateLimiter::new(class.loads_per_s, window, index, domains.len());
+            if !cx.settings.first_start {
+                limiter.assume_exhausted(cx.now());
+            }
+            limiter
+        })
+    }
+
+    /// Records that requests wait for a model, and returns how long it takes until its load may
+    /// start. At the weight store, the other models that requests wait for come before it. Returns
+    /// `None`, and records nothing, if the domain cannot load it soon.
+    pub fn request_load(
+        &mut self,
+        cx: &NodeContext,
+        class: &EngineClass,
+        domain: &str,
+        model: &Name,
+        source: WeightSource,
+    ) -> Option<Duration> {
+        let now = cx.now();
+        let wait = if source == WeightSource::Store {
+            let ahead = self.wanted_models.keys().filter(|wanted| *wanted != model).count();
+            self.load_limiter(cx, class, domain).wait_for_load(ahead, now)?
+        } else {
+            Duration::ZERO
+        };
+        if wait > MAX_LOAD_DELAY {
+            return None;
+        }
+        self.wanted_models.insert(model.clone(), now);
+        Some(wait)
+    }
+
     fn choose_move(
         &mut self,
         cx: &NodeContext,
@@ -181,16 +228,8 @@
     ) -> Option<Move> {
         let PlanningRound { class, servers, holders, missing, demand, neighbours } = *round;
         let now = cx.now();
-        let window = Duration::from_secs_f64(cx.settings.load_window_s);
-        let domains = cx.settings.failure_domains.len();
-        let load_limiter = self.load_limiter.get_or_insert_with(|| {
-            let mut limiter = LoadRateLimiter::new(class.loads_per_s, window, domains);
-            if !cx.settings.first_start {
-                limiter.assume_exhausted(now);
-            }
-            limiter
-        });
-        let store_load_allowed = load_limiter.may_start_load(now);
+        let store_load_allowed =
+            self.load_limiter(cx, class, &controller.domain).may_start_load(now);
         let no_loads = HashMap::new();
         let options: Vec<PlacementServer<'_>> = servers
             .iter()
@@ -207,6 +246,7 @@
                     }
                 }
                 let requests_by_model = contents.requests_by_model();
+                let used_at = contents.used_at().clone();
                 let accepts_orders = current_move.is_none()
                     && contents.expected_orders().is_some()
                     && !contents.is_busy(now);
@@ -214,6 +254,7 @@
                     server,
                     models,
                     requests_by_model,
+                    used_at,
                     adapter_requests: contents.adapter_requests(),
                     free_mb: contents.free_mb(class),
                     accepts_orders,
@@ -228,6 +269,7 @@
             missing,
             domain: &controller.domain,
             demand,
+            demand_is_known: self.demand.is_settled(now),
             neighbours,
             store_load_allowed,
             now,
@@ -241,6 +283,7 @@
         {
             load_limiter.record_load(now);
         }
+        self.wanted_models.remove(&chosen.load);
         let loaded = self.loaded_at.entry(chosen.server.clone()).or_default();
         loaded.insert(chosen.load.clone(), now);
     }
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -9,7 +9,7 @@
     AdmissionDecision, AdmissionInput, decide_admission, retry_after,
 };
 use savoryport_core::node::deployment::EngineClass;
-use savoryport_core::node::placement::restoring_domain;
+use savoryport_core::node::placement::restoring_domains;
 use savoryport_core::node::registry::BackendServer;
 use savoryport_core::node::request::Generation;
 use savoryport_core::node::selection::{Candidate, Distance, SelectionRequest, choose_server};
@@ -32,12 +32,14 @@
 /// How long a request waits for the load of a model beyond its expected duration.
 const LOAD_GRACE: Duration = Duration::from_millis(800);
 
+/// The number of failure domains that are asked in turn to load a model.
+const MAX_LOAD_REQUESTS: usize = 3;
+
 /// The share of a request's remaining time that the load of its model may take.
 const LOAD_SHARE: f64 = 0.6;
 
-/// The part of the server's time that one generated token takes, in milliseconds. The whole batch
-/// shares that time.
-const MS_PER_OUTPUT_TOKEN: f64 = 0.05;
+/// The number of slots that a server is assumed to have while no server holds the model.
+const DEFAULT_SLOTS: u32 = 32;
 
 /// The time after which a caller may retry if servers or the leaders of their failure domains are
 /// missing.
@@ -82,7 +84,11 @@
             || routing.speeds.prefill_ms(&generation.model, generation.prompt_tokens),
             |choice| f64::from(choice.prefill_ms),
         );
-        let work = prefill + MS_PER_OUTPUT_TOKEN * f64::from(generation.output_tokens);
+        let slots = candidates.iter().map(|(candidate, _)| candidate.server.slots).max();
+        let slots = slots.unwrap_or(DEFAULT_SLOTS);
+        let decode =
+            routing.speeds.decode_work_ms(&generation.model, generation.output_tokens, slots);
+        let work = prefill + decode;
         *routing.work_ms.entry(generation.model.clone()).or_default() += work;
     }
 
@@ -331,30 +337,33 @@
         }
     }
 
-    /// Asks the leader of the model's failure domain to load it; returns how long that will take,
-    /// or `None` if it cannot be loaded now.
+    /// Asks the leaders of failure domains in turn to load the model; returns how long that will
+    /// take, or `None` if none of them can load it soon.
     async fn request_model_load(&self, model: &Name) -> Option<Duration> {
+        let domains = domains_with_ready_servers(&self.cx.fleet.view(), &self.service);
+        for domain in restoring_domains(model, domains.iter()).into_iter().take(MAX_LOAD_REQUESTS) {
+            match self.request_load_in_domain(model, domain).await {
+                Some(Availability::Ready) => return Some(Duration::ZERO),
+                Some(Availability::Loading(ms)) => return Some(Duration::from_millis(ms)),
+                Some(Availability::Unavailable) | None => {}
+            }
+        }
+        None
+    }
+
+    async fn request_load_in_domain(&self, model: &Name, domain: &Name) -> Option<Availability> {
         let cx = &self.cx;
-        let domains = domains_with_ready_servers(&cx.fleet.view(), &self.service);
-        let domain = restoring_domain(model, domains.iter()).unwrap_or(&cx.settings.failure_domain);
-        let reply = if cx.controllers.leads(domain) {
-            cx.controllers.request_model(cx, &self.service, model, domain)
-        } else {
-            let leader = cx.fleet.read(|state| state.leader(domain).cloned())?;
-            let load_request = async {
-                let connection = cx.peers.get_or_connect(leader.peers).await?;
-                connection
-                    .want_model((self.service.clone(), model.clone()), LOAD_REQUEST_TIMEOUT)
-                    .await
-            };
-            let timeout = LOAD_REQUEST_TIMEOUT.min(self.remaining_time());
-            tokio::time::timeout(timeout, load_request).await.ok()?.ok()?
-        };
-        match reply {
-            Availability::Ready => Some(Duration::ZERO),
-            Availability::Loading(ms) => Some(Duration::from_millis(ms)),
-            Availability::Unavailable => None,
+        if cx.controllers.leads(domain) {
+            return Some(cx.controllers.request_model(cx, &self.service, model, domain));
         }
+        let leader = cx.fleet.read(|state| state.leader(domain).cloned())?;
+        let load_request = async {
+            let connection = cx.peers.get_or_connect(leader.peers).await?;
+            let wanted = (self.service.clone(), model.clone());
+            connection.want_model(wanted, LOAD_REQUEST_TIMEOUT).await
+        };
+        let timeout = LOAD_REQUEST_TIMEOUT.min(self.remaining_time());
+        tokio::time::timeout(timeout, load_request).await.ok()?.ok()
     }
 }
 
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -92,6 +92,7 @@
                     let OpenedResponse { connection, headers, in_flight, .. } = opened;
                     drop(in_flight);
                     self.request.record_outcome(&selected.server.id, ServerOutcome::Answered);
+                    self.record_decode();
                     self.request
                         .cx
                         .request_pool
@@ -220,6 +221,22 @@
         }
     }
 
+    /// Records how long a complete stream generated.
+    fn record_decode(&self) {
+        let request = &self.request;
+        let (Some(generation), Some(first), Some(last)) =
+            (&request.head.generation, request.time_to_first_token, request.last_chunk_at)
+        else {
+            return;
+        };
+        let took = last.saturating_duration_since(request.arrived_at + first);
+        request.cx.routing.lock().speeds.record_decode(
+            &generation.model,
+            generation.output_tokens,
+            took,
+        );
+    }
+
     /// Forwards bytes; those of a resumable stream as complete events, without events that were
     /// already forwarded.
     async fn forward_data(&mut self, data: Bytes) -> Option<StreamEnd> {
--- a/savoryport_core/src/node/orders.rs
+++ b/savoryport_core/src/node/orders.rs
@@ -128,6 +128,8 @@
     models: BTreeMap<Name, BTreeMap<Name, AdapterUse>>,
     /// The number of requests in flight, by model.
     requests: BTreeMap<Name, u32>,
+    /// When each model was last known to be in use; a model that was just found counts as used.
+    used_at: BTreeMap<Name, Instant>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -162,6 +164,11 @@
             let adapters = self.models.entry(model.clone()).or_default();
             adapters.insert(adapter.clone(), usage_of(model, adapter));
         }
+        let models = &self.models;
+        self.used_at.retain(|model, _| models.contains_key(model));
+        for model in self.models.keys() {
+            self.used_at.entry(model.clone()).or_insert(now);
+        }
         self.incarnation = report.incarnation;
         self.accepted_orders = (!report.is_busy).then_some(report.accepted_orders);
         self.min_accepted_orders = report.accepted_orders;
@@ -238,6 +245,9 @@
     /// Adds requests that use a model, or an adapter of it.
     pub fn add_use(&mut self, model: &Name, adapter: Option<&str>, requests: u32, now: Instant) {
         *self.requests.entry(model.clone()).or_default() += requests;
+        if let Some(used_at) = self.used_at.get_mut(model) {
+            *used_at = now;
+        }
         let adapters = self.models.get_mut(model);
         let usage = adapter.and_then(|adapter| adapters?.get_mut(adapter));
         if let Some(usage) = usage {
@@ -250,6 +260,11 @@
         self.requests.get(model).copied().unwrap_or(0)
     }
 
+    /// Returns when each model was last in use.
+    pub fn used_at(&self) -> &BTreeMap<Name, Instant> {
+        &self.used_at
+    }
+
     /// Returns the number of requests that use any adapter.
     pub fn adapter_requests(&self) -> u32 {
         self.models.values().flat_map(BTreeMap::values).map(|usage| usage.requests).sum()
@@ -364,9 +379,11 @@
         match order {
             Order::LoadModel(model) => {
                 self.models.entry(model.clone()).or_default();
+                self.used_at.insert(model.clone(), now);
             }
             Order::UnloadModel(model) => {
                 self.models.remove(model);
+                self.used_at.remove(model);
             }
             Order::LoadAdapter { model, adapter } => {
                 let usage = AdapterUse { requests: 0, last_used: now };
--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -2,8 +2,9 @@
 //!
 //! Load pattern: demand that shifts to models with a single copy, while the weight store serves
 //! only a few loads a second. The number of copies follows the demand of the region's callers, and
-//! each domain holds its part of them. The last copy of a model is never evicted, so that every
-//! model stays reachable.
+//! each domain holds its part of them. The last copy of a model is not evicted for more copies of
+//! another one, so that every model stays reachable. Where the servers cannot hold all models, the
+//! last copy of a model that nobody uses makes room for a model that requests wait for.
 //!
 //! Demand and the value of copies are measured in servers: a demand of 1 takes all the time of one
 //! server.
@@ -32,6 +33,11 @@
 /// in turn.
 const MIN_COPY_AGE: Duration = Duration::from_secs(4);
 
+/// The least value, in servers, of a copy while the demand is not known yet. A fleet is laid out for
+/// the demand that its operator expects, so that the copies found at the start are not given up for
+/// models that nobody has asked for.
+const UNKNOWN_DEMAND_VALUE: f64 = 0.12;
+
 /// The value, in servers, of a copy of a model that no server holds and no request waits for.
 /// Overloaded models come first: this one can still be loaded when a request arrives.
 const NOT_REQUESTED_VALUE: f64 = 0.1;
@@ -39,6 +45,12 @@
 /// The value, in servers, of a copy of a model that no server holds and requests wait for.
 const REQUESTED_VALUE: f64 = 0.4;
 
+/// The value, in servers, of the last copy of a model that nobody uses.
+const LAST_COPY_VALUE: f64 = 0.1;
+
+/// The last copy of a model is kept for this long after its last use, whatever waits.
+const MIN_LAST_COPY_IDLE: Duration = Duration::from_secs(2);
+
 /// The source of a model's weights for a load, the fastest first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum WeightSource {
@@ -80,6 +92,8 @@
     pub models: SmallVec<[Name; 4]>,
     /// The number of requests in flight, by model.
     pub requests_by_model: BTreeMap<Name, u32>,
+    /// When each model was last in use, as far as that is known.
+    pub used_at: BTreeMap<Name, Instant>,
     /// The number of requests in flight that use an adapter.
     pub adapter_requests: u32,
     /// The free accelerator memory, in MB.
@@ -114,6 +128,8 @@
     pub domain: &'a Name,
     /// The demand of this domain's callers by model, in servers.
     pub demand: &'a HashMap<Name, f64>,
+    /// Whether requests were observed for long enough that a model without demand is not in use.
+    pub demand_is_known: bool,
     /// The other domains of the region.
     pub neighbours: &'a [NeighbourDomain],
     /// Whether a load from the weight store may start now.
@@ -268,7 +284,9 @@
         if source == WeightSource::Store && !input.store_load_allowed {
             continue;
         }
-        let Some((unload, lost_value)) = copies_to_evict(input, copies, server, spec) else {
+        let is_requested = input.missing.get(model) == Some(&MissingModel::Requested);
+        let evicted = copies_to_evict(input, copies, server, spec, is_requested);
+        let Some((unload, lost_value)) = evicted else {
             continue;
         };
         let has_requests = |model: &Name| {
@@ -319,19 +337,29 @@
     region_demand(input, model) / copies.in_region(model).max(1) as f64
 }
 
-/// Returns the copies to evict so that a model of this size fits, and their total value.
+/// Returns the copies to evict so that a model of this size fits, and their total value. The last
+/// copies of unused models are among them only if `with_last_copies` is set.
 fn copies_to_evict(
     input: &PlacementInput<'_>,
     copies: &CopyCounts,
     server: &PlacementServer<'_>,
     spec: &ModelSpec,
+    with_last_copies: bool,
 ) -> Option<(SmallVec<[Name; 2]>, f64)> {
     let mut free_mb = server.free_mb;
     let mut evictable: Vec<(&Name, f64)> = server
         .models
         .iter()
-        .filter(|model| may_evict(input, server, model))
-        .map(|model| (model, demand_per_copy(input, copies, model) + drain_cost(server, model)))
+        .filter_map(|model| {
+            let value = copy_loss(input, copies, model) + drain_cost(server, model);
+            if may_evict(input, server, model) {
+                Some((model, value))
+            } else if with_last_copies && may_evict_last_copy(input, server, model) {
+                Some((model, value.max(LAST_COPY_VALUE)))
+            } else {
+                None
+            }
+        })
         .collect();
     evictable.sort_by(|a, b| a.1.total_cmp(&b.1));
     let (mut evicted, mut lost_value) = (SmallVec::new(), 0.0);
@@ -346,6 +374,12 @@
     (free_mb >= spec.memory_mb).then_some((evicted, lost_value))
 }
 
+/// Returns the value that is lost with one copy of a model, in servers.
+fn copy_loss(input: &PlacementInput<'_>, copies: &CopyCounts, model: &Name) -> f64 {
+    let known = demand_per_copy(input, copies, model);
+    if input.demand_is_known { known } else { known.max(UNKNOWN_DEMAND_VALUE) }
+}
+
 /// Returns the cost of waiting for a model's requests to end before it is evicted, in servers.
 fn drain_cost(server: &PlacementServer<'_>, model: &Name) -> f64 {
     f64::from(server.requests_by_model.get(model).copied().unwrap_or(0)) * DRAIN_COST_PER_REQUEST
@@ -355,11 +389,28 @@
     let id = &server.server.id;
     let holders = input.holders.get(model).map(Vec::as_slice).unwrap_or_default();
     let has_other_holder = holders.iter().any(|holder| holder != id);
-    let is_old_enough = server
-        .loaded_at
+    let is_protected = protected_holder(model, holders) == Some(id);
+    has_other_holder && !is_protected && is_old_enough(input, server, model)
+}
+
+fn is_old_enough(input: &PlacementInput<'_>, server: &PlacementServer<'_>, model: &Name) -> bool {
+    let loaded_at = server.loaded_at.get(model);
+    loaded_at.is_none_or(|at| input.now.saturating_duration_since(*at) >= MIN_COPY_AGE)
+}
+
+/// Returns whether a copy may be evicted although no other one might remain: the servers cannot
+/// hold all models, and nobody has used this one for a while.
+fn may_evict_last_copy(
+    input: &PlacementInput<'_>,
+    server: &PlacementServer<'_>,
+    model: &Name,
+) -> bool {
+    let is_idle = server
+        .used_at
         .get(model)
-        .is_none_or(|at| input.now.saturating_duration_since(*at) >= MIN_COPY_AGE);
-    has_other_holder && protected_holder(model, holders) != Some(id) && is_old_enough
+        .is_some_and(|at| input.now.saturating_duration_since(*at) >= MIN_LAST_COPY_IDLE);
+    let has_requests = server.requests_by_model.get(model).is_some_and(|requests| *requests > 0);
+    input.demand_is_known && is_idle && !has_requests && is_old_enough(input, server, model)
 }
 
 /// Returns the domain that loads a model again when no server holds it, among the domains with
@@ -369,14 +420,27 @@
     model: &str,
     domains: impl Iterator<Item = &'a Name>,
 ) -> Option<&'a Name> {
+    restoring_domains(model, domains).first().copied()
+}
+
+/// Returns the domains in the order in which they are asked to load a model that no server holds.
+/// Every node computes the same order; a domain that cannot load the model soon leaves it to the
+/// next one.
+pub fn restoring_domains<'a>(
+    model: &str,
+    domains: impl Iterator<Item = &'a Name>,
+) -> SmallVec<[&'a Name; 8]> {
     let seed = xxh3_64_with_seed(model.as_bytes(), 0);
-    domains.min_by_key(|domain| xxh3_64_with_seed(domain.as_bytes(), seed))
+    let mut ordered: SmallVec<[&Name; 8]> = domains.collect();
+    ordered.sort_by_key(|domain| xxh3_64_with_seed(domain.as_bytes(), seed));
+    ordered
 }
 
 /// Limits the loads of one domain to its part of the weight store's rate.
 ///
 /// The store's rate bounds the loads that start within a time window, over all servers. Each domain
-/// gets an equal part of it, so that domains need no messages to agree on a load.
+/// gets a part of it, so that domains need no messages to agree on a load. The parts differ by one
+/// load where the bound is no multiple of the number of domains.
 #[derive(Debug, Clone)]
 pub struct LoadRateLimiter {
     window: Duration,
@@ -385,10 +449,11 @@
 }
 
 impl LoadRateLimiter {
-    /// Creates the limiter of one of `domains` domains.
-    pub fn new(loads_per_s: f64, window: Duration, domains: usize) -> Self {
-        let total = loads_per_s * window.as_secs_f64();
-        let max_loads = (total / domains.max(1) as f64).floor().max(1.0) as usize;
+    /// Creates the limiter of the domain with this index among `domains` domains in order.
+    pub fn new(loads_per_s: f64, window: Duration, index: usize, domains: usize) -> Self {
+        let domains = domains.max(1);
+        let total = (loads_per_s * window.as_secs_f64()).floor().max(1.0) as usize;
+        let max_loads = total / domains + usize::from(index < total % domains);
         Self { window, max_loads, started: Vec::new() }
     }
 
@@ -399,9 +464,22 @@
 
     /// Returns whether a load may start.
     pub fn may_start_load(&mut self, now: Instant) -> bool {
+        self.wait_for_load(0, now).is_some_and(|wait| wait.is_zero())
+    }
+
+    /// Returns the time until a load may start if `ahead` others start before it, or `None` if the
+    /// domain may not load anything from the store.
+    pub fn wait_for_load(&mut self, ahead: usize, now: Instant) -> Option<Duration> {
         let window = self.window;
         self.started.retain(|at| now.saturating_duration_since(*at) < window);
-        self.started.len() < self.max_loads
+        if self.max_loads == 0 {
+            return None;
+        }
+        let free = self.max_loads.saturating_sub(self.started.len());
+        let Some(position) = ahead.checked_sub(free) else { return Some(Duration::ZERO) };
+        let rounds = (position / self.max_loads) as u32;
+        let start = self.started.get(position % self.max_loads).copied().unwrap_or(now);
+        Some(window.saturating_sub(now.saturating_duration_since(start)) + window * rounds)
     }
 
     /// Counts a load that starts.
@@ -416,6 +494,8 @@
     /// The averages with the time constants `RISE_TIME` and `FALL_TIME`, by model.
     models: HashMap<Name, (f64, f64)>,
     observed_at: Option<Instant>,
+    /// When the first work was observed.
+    first_work_at: Option<Instant>,
 }
 
 /// The time constant with which the average rises.
@@ -436,6 +516,9 @@
             return;
         };
         self.observed_at = Some(now);
+        if !work_ms.is_empty() {
+            self.first_work_at.get_or_insert(now);
+        }
         let seconds = interval.as_secs_f64().max(1e-3);
         for model in work_ms.keys() {
             self.models.entry(model.clone()).or_default();
@@ -448,6 +531,11 @@
         self.models.retain(|_, (fast, slow)| fast.max(*slow) > MIN_DEMAND);
     }
 
+    /// Returns whether work has been observed for so long that the averages have settled.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        self.first_work_at.is_some_and(|at| now.saturating_duration_since(at) >= FALL_TIME)
+    }
+
     /// Returns the demand by model, in servers.
     pub fn demand(&self) -> HashMap<Name, f64> {
         self.models.iter().map(|(model, (fast, slow))| (model.clone(), fast.max(*slow))).collect()
--- a/savoryport_core/src/node/selection.rs
+++ b/savoryport_core/src/node/selection.rs
@@ -21,6 +21,14 @@
 /// The service time of a service without model engines before any measurement.
 const INITIAL_SERVICE_MS: f64 = 20.0;
 
+/// The time from one token of a stream to the next before any measurement, in milliseconds: that of
+/// a mid-size model in a moderate batch.
+const INITIAL_DECODE_MS_PER_TOKEN: f64 = 6.0;
+
+/// The share of a server's slots that generate at once when the server is well used. With fuller
+/// batches each step takes longer, and streams pause.
+const WELL_USED_SHARE: f64 = 0.75;
+
 /// The weight of the newest sample in the running averages of speed.
 const NEWEST_WEIGHT: f64 = 0.1;
 
@@ -28,6 +36,10 @@
 /// the batch.
 const MS_PER_RUNNING_REQUEST: f64 = 0.5;
 
+/// The cost of a batch that fills all slots of a server, in milliseconds; that of a smaller batch
+/// falls with its square. Each request of a large batch prolongs the pauses of all its streams.
+const FULL_BATCH_COST_MS: f64 = 60.0;
+
 /// The cost of a failure rate of 1, in milliseconds. Lower rates cost proportionally less. A
 /// failing server thereby gets few requests.
 const FAILURE_RATE_COST_MS: f64 = 3_000.0;
@@ -73,6 +85,9 @@
 pub struct SpeedEstimates {
     /// Prefill time per token in milliseconds, by model.
     prefill_ms_per_token: HashMap<Name, f64>,
+    /// The time in which a stream generates, for each token that it may generate at most, in
+    /// milliseconds by model. Streams that end early make it shorter than the time of a token.
+    decode_ms_per_token: HashMap<Name, f64>,
     /// The factor by which a server is slower than the others, by server.
     slowness: HashMap<Name, f64>,
     /// Service time in milliseconds, by service without model engines.
@@ -87,6 +102,23 @@
         per_token * f64::from(tokens)
     }
 
+    /// Returns the part of the time of a server with `slots` slots that it takes to generate up to
+    /// `tokens` tokens, in milliseconds. The requests of a batch share the server's time.
+    pub fn decode_work_ms(&self, model: &str, tokens: u32, slots: u32) -> f64 {
+        let per_token =
+            self.decode_ms_per_token.get(model).copied().unwrap_or(INITIAL_DECODE_MS_PER_TOKEN);
+        per_token * f64::from(tokens) / (f64::from(slots) * WELL_USED_SHARE).max(1.0)
+    }
+
+    /// Updates the averages with the time that a stream took from its first token to its last one,
+    /// where it was allowed `tokens` tokens.
+    pub fn record_decode(&mut self, model: &Name, tokens: u32, took: Duration) {
+        let sample = took.as_secs_f64() * 1e3 / f64::from(tokens.max(1));
+        let average =
+            self.decode_ms_per_token.entry(model.clone()).or_insert(INITIAL_DECODE_MS_PER_TOKEN);
+        *average += (sample.min(*average * 4.0) - *average) * NEWEST_WEIGHT;
+    }
+
     /// Returns the factor by which the server is slower than the others.
     pub fn slowness(&self, server: &str) -> f64 {
         self.slowness.get(server).copied().unwrap_or(1.0)
@@ -251,12 +283,13 @@
     let adapter_ms = cx.costs.adapter_load_ms * f64::from(candidate.adapter_orders);
     let failures_ms = cx.health.failure_rate(&server.id) * FAILURE_RATE_COST_MS;
     let total_ms = expected_ms + distance_ms + adapter_ms;
+    let batch_ms = request.generation.map_or(0.0, |_| batch_cost_ms(server, load.running));
     Choice {
         candidate,
         prefill_ms: (service_ms * slowness) as f32,
         copy_from,
         expected_latency: Duration::from_secs_f64(total_ms / 1e3),
-        cost_ms: total_ms + failures_ms,
+        cost_ms: total_ms + failures_ms + batch_ms,
     }
 }
 
@@ -292,6 +325,11 @@
         .max_by_key(|prefix| prefix.tokens)
 }
 
+fn batch_cost_ms(server: &BackendServer, running: u32) -> f64 {
+    let used = f64::from(running) / f64::from(server.slots.max(1));
+    FULL_BATCH_COST_MS * used * used
+}
+
 /// Returns the expected wait for a free slot, in milliseconds. A server without a free slot starts
 /// no request until another one ends.
 fn slot_wait_ms(server: &BackendServer, running: u32) -> f64 {
