--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -1,12 +1,13 @@
 //! The state that the tasks of a node share.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, RngExt};
 use savoryport_adapter::store::StoreClient;
 use savoryport_core::clock::Clock;
+use savoryport_core::node::entry_subset::EntrySubset;
 use savoryport_platform::connection::Pool;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -60,6 +61,8 @@
     pub connection_shutdown: CancellationToken,
     /// The tasks that serve callers' connections and streams.
     pub caller_tasks: TaskTracker,
+    /// The part of the nodes that callers are sent to.
+    pub entry_subset: Mutex<EntrySubset>,
     /// The random number generator, seeded from the VM's name and the start time.
     pub rng: Mutex<SmallRng>,
 }
@@ -70,6 +73,11 @@
         self.clock.now()
     }
 
+    /// Locks the part of the nodes that callers are sent to.
+    pub fn entry_subset(&self) -> MutexGuard<'_, EntrySubset> {
+        self.entry_subset.lock().expect("no thread panics while holding the lock")
+    }
+
     /// Returns the copies on a failure domain's servers that are used by requests of this node and
     /// its followers.
     pub fn copies_in_domain(&self, domain: &str) -> Vec<CopyUse> {
--- a/savoryport/src/node/directory.rs
+++ b/savoryport/src/node/directory.rs
@@ -17,10 +17,12 @@
     DIRECTORY_PATH, DirectoryQuery, READINESS_PATH, decode_directory_query,
     encode_directory_response,
 };
+use savoryport_core::Name;
+use savoryport_core::node::entry_subset::sort_entries;
 use tokio::net::TcpListener;
 
 use super::context::NodeContext;
-use super::view::FleetView;
+use super::view::{FleetView, Member};
 
 /// How long callers may cache the addresses. A stopping node still serves for longer than that.
 const ADDRESS_TTL: Duration = Duration::from_secs(1);
@@ -92,9 +94,9 @@
     response
 }
 
-/// Returns the addresses of the nodes in the caller's failure domain; if there are none, of those
-/// in its region; if there are none either, of all nodes. Without `own_address` this node is left
-/// out.
+/// Returns the addresses of nodes in the caller's failure domain; if there are none, of those in its
+/// region; if there are none either, of all nodes. In each case callers are sent to a part of the
+/// nodes. Without `own_address` this node is left out.
 fn nearest_addresses(
     view: &FleetView,
     question: &DirectoryQuery,
@@ -106,9 +108,16 @@
         .iter()
         .filter(|member| own_address.is_some() || member.callers != cx.settings.callers_listen);
     let members: Vec<_> = members.collect();
+    let leads = |vm: &Name| view.leaders.values().any(|leader| leader.vm == *vm);
+    let (now, all_nodes) = (cx.now(), view.members.len());
+    let in_flight = cx.routing.lock().loads.requests_in_flight();
+    cx.entry_subset().record_in_flight(in_flight, now);
     let addresses_in = |matches: &dyn Fn(&str) -> bool| -> Vec<SocketAddr> {
-        let matching = members.iter().filter(|member| matches(&member.failure_domain));
-        matching.map(|member| member.callers).take(MAX_ADDRESSES).collect()
+        let mut matching: Vec<&&Member> =
+            members.iter().filter(|member| matches(&member.failure_domain)).collect();
+        sort_entries(&mut matching, |member| (leads(&member.vm), member.vm.clone()));
+        let size = cx.entry_subset().size(matching.len(), all_nodes, now);
+        matching.iter().map(|member| member.callers).take(size.min(MAX_ADDRESSES)).collect()
     };
     let in_domain = addresses_in(&|domain| domain == question.failure_domain);
     if !in_domain.is_empty() {
--- a/savoryport/src/node/leadership.rs
+++ b/savoryport/src/node/leadership.rs
@@ -19,8 +19,16 @@
 /// Interval between checks for vacant failure domains, that is, those without a leader.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Upper bound of the random delay that spreads the attempts of competing nodes.
-const CAMPAIGN_JITTER: Duration = Duration::from_millis(150);
+/// The random delay, for each node of the failure domain, that spreads the attempts of competing
+/// nodes: about the time in which the others learn of a success.
+const CAMPAIGN_JITTER_PER_NODE: Duration = Duration::from_millis(30);
+
+/// The shortest range of that delay.
+const MIN_CAMPAIGN_JITTER: Duration = Duration::from_millis(200);
+
+/// The range of that delay while no other node of the failure domain is known, as at the start of
+/// hundreds of nodes at once.
+const START_CAMPAIGN_JITTER: Duration = Duration::from_millis(1_000);
 
 /// Delay before a VM with a whole core tries to become the leader. The delay is inversely
 /// proportional to the CPU share, so that the VM with the most CPU wins.
@@ -51,12 +59,12 @@
     let mut campaign = Campaign::default();
     while !cx.stopping.is_cancelled() {
         tokio::time::sleep(POLL_INTERVAL).await;
-        if !cx.store_health.is_available(cx.now()) {
+        if !cx.store_health.is_answering() {
             continue;
         }
         for domain in campaign.eligible_domains(&cx) {
             let delay = CAMPAIGN_DELAY.div_f64(cx.settings.cpu_share.max(MIN_CPU_SHARE));
-            tokio::time::sleep(delay + CAMPAIGN_JITTER.mul_f64(cx.random_unit())).await;
+            tokio::time::sleep(delay + campaign_jitter(&cx).mul_f64(cx.random_unit())).await;
             if cx.fleet.read(|state| state.leader(&domain).is_some()) {
                 continue;
             }
@@ -66,20 +74,30 @@
     release_all(&cx).await;
 }
 
+fn campaign_jitter(cx: &NodeContext) -> Duration {
+    let nodes = cx.fleet.read(|state| state.domain_members(&cx.settings.failure_domain).len());
+    if nodes <= 1 {
+        return START_CAMPAIGN_JITTER;
+    }
+    (CAMPAIGN_JITTER_PER_NODE * nodes as u32).max(MIN_CAMPAIGN_JITTER)
+}
+
 impl Campaign {
     /// Returns the vacant failure domains that this node may lead: its own, and as the leader of
     /// another domain also those that have been vacant for [`TAKEOVER_AFTER`].
     fn eligible_domains(&mut self, cx: &NodeContext) -> Vec<Name> {
         let (own, now) = (&cx.settings.failure_domain, cx.now());
         let view = cx.fleet.view();
-        let Some(deployment) = view.deployment() else { return Vec::new() };
+        // Before the first configuration, a node may already lead its own domain: its followers
+        // then learn the configuration from it, instead of asking the store for it all the time.
+        let has_engine = |service: &str| {
+            let service = view.deployment().and_then(|known| known.services.get(service));
+            service.is_some_and(|service| service.engine.is_some())
+        };
         let mut domains: HashSet<Name> = view
             .servers
             .values()
-            .filter(|server| {
-                let service = deployment.services.get(&server.service);
-                service.is_some_and(|service| service.engine.is_some())
-            })
+            .filter(|server| has_engine(&server.service))
             .map(|server| server.failure_domain.clone())
             .collect();
         domains.insert(own.clone());
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -45,7 +45,8 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use savoryport_adapter::store::StoreClient;
-use savoryport_core::clock::SystemClock;
+use savoryport_core::clock::{Clock as _, SystemClock};
+use savoryport_core::node::entry_subset::EntrySubset;
 use savoryport_core::node::retry_budget::RetryBound;
 use savoryport_platform::connection::Pool;
 use thiserror::Error;
@@ -155,8 +156,10 @@
     let tenure = xxh3_64(settings.vm.as_bytes()) ^ start_time.as_nanos() as u64;
     let retry_bound = RetryBound { ratio: settings.retry_ratio, extra: settings.retry_extra };
     let store_timeout = Duration::from_millis(settings.store_timeout_ms);
+    let clock = Arc::new(SystemClock);
     NodeContext {
-        clock: Arc::new(SystemClock),
+        entry_subset: Mutex::new(EntrySubset::new(clock.now())),
+        clock,
         lease_clock: Arc::new(BootClock::new()),
         store: StoreClient::new(settings.store.clone(), store_timeout),
         request_pool: Pool::default(),
--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -149,6 +149,14 @@
         self.deadline.saturating_duration_since(self.cx.now())
     }
 
+    /// Returns how long a connection may have been idle that the request is sent on.
+    pub(super) fn max_idle(&self) -> Duration {
+        match self.route.kind {
+            RequestKind::NonIdempotent => MAX_IDLE_FOR_NON_IDEMPOTENT,
+            _ => Duration::MAX,
+        }
+    }
+
     /// Returns whether the request may be sent to one more server; a retry is taken from the retry
     /// budget.
     pub(super) fn reserve_attempt(&self) -> bool {
@@ -260,10 +268,7 @@
         let server = &selected.server;
         self.last_server = Some(server.id.clone());
         self.expected_latency = selected.expected_latency;
-        let max_idle = match self.route.kind {
-            RequestKind::NonIdempotent => MAX_IDLE_FOR_NON_IDEMPOTENT,
-            _ => Duration::MAX,
-        };
+        let max_idle = self.max_idle();
         let address: Name = server.address.to_string().into();
         let connect_timeout =
             Duration::from_millis(self.cx.settings.connect_timeout_ms).min(self.remaining_time());
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -1,5 +1,6 @@
 //! Selects the server for a request, and asks for a missing adapter or model to be loaded.
 
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -260,6 +261,8 @@
                 health.is_not_resident(&server.id, copy, server.incarnation, now)
             })
         };
+        let max_idle = self.max_idle();
+        let mut address = String::new();
         self.ready_servers(view)
             .filter(|server| {
                 !self.attempted_servers.contains(&server.id)
@@ -274,7 +277,10 @@
                 let adapter_orders =
                     adapter_orders(server, self.head.generation.as_ref(), max_adapters)?;
                 let distance = self.distance(server);
-                Some((Candidate { server, distance, adapter_orders }, server))
+                address.clear();
+                let _ = write!(address, "{}", server.address);
+                let is_connected = self.cx.request_pool.has_idle(&address, max_idle);
+                Some((Candidate { server, distance, adapter_orders, is_connected }, server))
             })
             .collect()
     }
--- a/savoryport/src/node/settings.rs
+++ b/savoryport/src/node/settings.rs
@@ -64,7 +64,7 @@
     pub load_window_s: f64,
     /// The maximum time for which callers may cache an address, in seconds. Default 5.
     pub address_ttl_max_s: f64,
-    /// The interval between two reads of the store, in milliseconds. Default 500.
+    /// The interval between two reads of the store, in milliseconds. Default 1,000.
     pub store_poll_ms: u64,
     /// Timeout for a call to the store, in milliseconds. Default 1,000.
     pub store_timeout_ms: u64,
@@ -87,6 +87,9 @@
     /// The time added to the expected latency of a server in another region, in milliseconds.
     /// Default 90.
     pub other_region_ms: f64,
+    /// The time that the selection adds to the expected latency of a server to which this node has
+    /// no open connection, in milliseconds. Default 8.
+    pub new_connection_ms: f64,
     /// The log level: `error`, `warn`, `info` or `debug`. Default `info`.
     pub log_level: String,
 }
@@ -117,7 +120,7 @@
             retry_extra: 10.0,
             load_window_s: 5.0,
             address_ttl_max_s: 5.0,
-            store_poll_ms: 500,
+            store_poll_ms: 1_000,
             store_timeout_ms: 1_000,
             sync_period_ms: 50,
             exchange_period_ms: 250,
@@ -126,6 +129,7 @@
             adapter_load_ms: 12,
             other_domain_ms: 8.0,
             other_region_ms: 90.0,
+            new_connection_ms: 8.0,
             log_level: "info".to_owned(),
         }
     }
@@ -263,6 +267,7 @@
             other_domain_ms: self.other_domain_ms,
             other_region_ms: self.other_region_ms,
             adapter_load_ms: self.adapter_load_ms as f64 * 2.0,
+            new_connection_ms: self.new_connection_ms,
         }
     }
 }
--- a/savoryport_core/src/node/load.rs
+++ b/savoryport_core/src/node/load.rs
@@ -92,6 +92,12 @@
         &self.own
     }
 
+    /// Returns the number of requests in flight over all nodes and servers.
+    pub fn requests_in_flight(&self) -> usize {
+        let loads = self.own.values().chain(self.other_nodes.values());
+        loads.map(|load| load.running as usize).sum()
+    }
+
     /// Returns the load of a server over all nodes.
     pub fn total(&self, server: &str) -> ServerLoad {
         let mut total = self.own.get(server).copied().unwrap_or_default();
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod deployment;
+pub mod entry_subset;
 pub mod health;
 pub mod leadership;
 pub mod load;
--- a/savoryport_core/src/node/selection.rs
+++ b/savoryport_core/src/node/selection.rs
@@ -61,11 +61,18 @@
     pub other_region_ms: f64,
     /// The cost of each order that is needed before the adapter is loaded, in milliseconds.
     pub adapter_load_ms: f64,
+    /// The cost of a server without an open connection, in milliseconds.
+    pub new_connection_ms: f64,
 }
 
 impl Default for SelectionCosts {
     fn default() -> Self {
-        Self { other_domain_ms: 8.0, other_region_ms: 90.0, adapter_load_ms: 20.0 }
+        Self {
+            other_domain_ms: 8.0,
+            other_region_ms: 90.0,
+            adapter_load_ms: 20.0,
+            new_connection_ms: 8.0,
+        }
     }
 }
 
@@ -210,6 +217,8 @@
     /// The number of orders that are needed before the adapter is loaded: none, a load, or an
     /// unload and a load.
     pub adapter_orders: u8,
+    /// Whether this node has an open connection to the server that is not in use.
+    pub is_connected: bool,
 }
 
 /// A candidate with its estimates.
@@ -283,13 +292,14 @@
     let adapter_ms = cx.costs.adapter_load_ms * f64::from(candidate.adapter_orders);
     let failures_ms = cx.health.failure_rate(&server.id) * FAILURE_RATE_COST_MS;
     let total_ms = expected_ms + distance_ms + adapter_ms;
+    let connection_ms = if candidate.is_connected { 0.0 } else { cx.costs.new_connection_ms };
     let batch_ms = request.generation.map_or(0.0, |_| batch_cost_ms(server, load.running));
     Choice {
         candidate,
         prefill_ms: (service_ms * slowness) as f32,
         copy_from,
         expected_latency: Duration::from_secs_f64(total_ms / 1e3),
-        cost_ms: total_ms + failures_ms + batch_ms,
+        cost_ms: total_ms + failures_ms + batch_ms + connection_ms,
     }
 }
 
--- a/savoryport_platform/src/connection.rs
+++ b/savoryport_platform/src/connection.rs
@@ -136,6 +136,15 @@
         }
     }
 
+    /// Returns whether an open connection to the address has been idle for less than `max_idle`.
+    pub fn has_idle(&self, address: &str, max_idle: Duration) -> bool {
+        let idle = self.idle.lock().expect("no thread panics while holding the lock");
+        let now = Instant::now();
+        idle.get(address).is_some_and(|connections| {
+            connections.iter().any(|idle| idle.is_reusable(max_idle, now))
+        })
+    }
+
     /// Closes the idle connections to an address.
     pub fn close_idle(&self, address: &str) {
         self.idle.lock().expect("no thread panics while holding the lock").remove(address);
@@ -149,13 +158,19 @@
             !idle.connection.sender.is_closed()
                 && idle.expires_at.is_none_or(|expires_at| now < expires_at)
         });
-        let position = connections.iter().rposition(|idle| {
-            idle.connection.sender.is_ready() && now.duration_since(idle.idle_since) < max_idle
-        })?;
+        let position = connections.iter().rposition(|idle| idle.is_reusable(max_idle, now))?;
         Some(connections.remove(position).connection)
     }
 }
 
+impl IdleConnection {
+    fn is_reusable(&self, max_idle: Duration, now: Instant) -> bool {
+        self.connection.sender.is_ready()
+            && self.expires_at.is_none_or(|expires_at| now < expires_at)
+            && now.duration_since(self.idle_since) < max_idle
+    }
+}
+
 impl Connection {
     /// Sends a request and waits for the head of the response.
     ///
