Bound endless answers, resume dripping streams, and send servers once

Cause: a server in trouble may send bytes without end. A body was buffered up to 8 MB for each request, so that 36 at once could take up more than the 160 MB of the smallest VM, and an event up to 1 MB. A server that sent a byte now and then counted as active, so that its stalled stream was never resumed elsewhere. On the large site a node that read the store itself asked its leader for all servers and members with every sync, twenty times a second, which filled the leader's link in the first seconds.

Change: all bodies that are read whole share an eighth of the memory; an event has 256 KiB; only a complete event is a sign of life of a resumable stream; a node that reads the store asks for no servers, and the one full reply afterwards has 2.5 s.

Tests: node_bad_servers, with servers that send heads, bodies and events without end, second copies of answers and dripping streams. A second copy reaches nobody on the old code either: the connection is closed when bytes arrive that were not asked for, and an answer with another request's id is dropped.

--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -9,6 +9,7 @@
 use savoryport_core::clock::Clock;
 use savoryport_core::node::entry_subset::EntrySubset;
 use savoryport_platform::connection::Pool;
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -61,6 +62,9 @@
     pub connection_shutdown: CancellationToken,
     /// The tasks that serve callers' connections and streams.
     pub caller_tasks: TaskTracker,
+    /// The memory for servers' responses that are read to their end before they are forwarded, with
+    /// a permit for each KiB.
+    pub response_memory: Semaphore,
     /// The part of the nodes that callers are sent to.
     pub entry_subset: Mutex<EntrySubset>,
     /// The random number generator, seeded from the VM's name and the start time.
--- a/savoryport/src/node/event_splitter.rs
+++ b/savoryport/src/node/event_splitter.rs
@@ -6,8 +6,9 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// The maximum size of an event that is buffered until it is complete, in bytes.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// The maximum size of an event that is buffered until it is complete, in bytes. Bytes that are no
+/// event may come without end, and to many requests at once.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// Splits bytes into events.
 #[derive(Debug, Default)]
--- a/savoryport/src/node/fleet.rs
+++ b/savoryport/src/node/fleet.rs
@@ -11,7 +11,7 @@
 use savoryport_core::node::registry::{BackendServer, Registry, ResidentModel};
 use tokio::sync::watch;
 
-use super::rpc::{SyncPosition, SyncReply};
+use super::rpc::{NO_SERVERS_WANTED, SyncPosition, SyncReply};
 use super::view::{AcceptedConfig, DomainLeader, FleetView, Member};
 
 /// A follower that has not reported for this long is no longer named to callers.
@@ -255,7 +255,9 @@
         domain: Option<&str>,
         reply: &mut SyncReply,
     ) {
-        let is_incremental = have.tenure == tenure && have.servers >= self.removals_pruned_up_to;
+        let wants_none = have.servers == NO_SERVERS_WANTED;
+        let is_incremental =
+            wants_none || have.tenure == tenure && have.servers >= self.removals_pruned_up_to;
         let since = if is_incremental { have.servers } else { 0 };
         let is_included =
             |server: &BackendServer| domain.is_none_or(|name| &*server.failure_domain == name);
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -50,7 +50,7 @@
 use savoryport_core::node::retry_budget::RetryBound;
 use savoryport_platform::connection::Pool;
 use thiserror::Error;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use xxhash_rust::xxh3::xxh3_64;
@@ -74,6 +74,10 @@
 /// The part of `stop_within_s` that is reserved for the steps after requests are drained.
 const STOP_MARGIN: Duration = Duration::from_millis(1_000);
 
+/// The part of the process's memory, as a divisor, that servers' responses may take up while they
+/// are read. They are small, except for those of servers in trouble.
+const RESPONSE_MEMORY_PART: u64 = 8;
+
 /// The number of nodes that are assumed to share the retry budget before any other node is known.
 const ASSUMED_NODES: usize = 16;
 
@@ -158,6 +162,9 @@
     let store_timeout = Duration::from_millis(settings.store_timeout_ms);
     let clock = Arc::new(SystemClock);
     NodeContext {
+        response_memory: Semaphore::new(
+            (settings.memory_mb * 1024 / RESPONSE_MEMORY_PART) as usize,
+        ),
         entry_subset: Mutex::new(EntrySubset::new(clock.now())),
         clock,
         lease_clock: Arc::new(BootClock::new()),
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -38,7 +38,7 @@
     /// The tenure of the called node that the other numbers belong to. It differs between starts of
     /// the process; a node with another tenure sends all servers and members.
     pub tenure: u64,
-    /// The revision of the last change of servers.
+    /// The revision of the last change of servers, or [`NO_SERVERS_WANTED`].
     pub servers: u64,
     /// The revision of the last change of members or leaders.
     pub members: u64,
@@ -48,6 +48,9 @@
     pub config: u64,
 }
 
+/// The position of servers with which a node asks for none, since it reads them from the store.
+pub const NO_SERVERS_WANTED: u64 = u64::MAX;
+
 /// A prompt that was sent to a server, which probably caches its prefixes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PromptRecord {
--- a/savoryport/src/node/server_response.rs
+++ b/savoryport/src/node/server_response.rs
@@ -3,13 +3,14 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use savoryport_adapter::servers::{keep_alive_timeout, promises_not_run, strip_connection_headers};
 use savoryport_core::Name;
 use savoryport_core::node::health::ServerOutcome;
+use tokio::sync::Semaphore;
 
 use super::proxy::{Attempt, OpenedResponse, ProxyRequest};
 use super::response::forward_response;
@@ -30,7 +31,7 @@
         selected: &SelectedServer,
     ) -> Attempt {
         let OpenedResponse { status, mut headers, body, connection, mut in_flight, .. } = opened;
-        match collect_body(body, self.remaining_time()).await {
+        match collect_body(body, self.remaining_time(), &self.cx.response_memory).await {
             Some(body) => {
                 in_flight.record_first_token();
                 self.record_outcome(&selected.server.id, ServerOutcome::Answered);
@@ -63,7 +64,7 @@
         self.excluded_servers.push(selected.server.id.clone());
         self.cx.metrics.not_run.inc();
         self.learn_from_refusal(status, selected);
-        if collect_body(body, DISCARD_TIMEOUT).await.is_some() {
+        if collect_body(body, DISCARD_TIMEOUT, &self.cx.response_memory).await.is_some() {
             self.cx.request_pool.release_with_keep_alive(connection, keep_alive_timeout(&headers));
         }
     }
@@ -100,7 +101,7 @@
         selected: &SelectedServer,
     ) -> Attempt {
         let OpenedResponse { status, mut headers, body, connection, in_flight, .. } = opened;
-        let body = collect_body(body, self.remaining_time()).await;
+        let body = collect_body(body, self.remaining_time(), &self.cx.response_memory).await;
         drop(in_flight);
         self.may_have_run = true;
         self.record_outcome(&selected.server.id, ServerOutcome::Failed);
@@ -123,9 +124,17 @@
 }
 
 /// Reads a complete body; returns `None` if it was incomplete, too large or took longer than
-/// `timeout`.
-async fn collect_body(body: Incoming, timeout: Duration) -> Option<Bytes> {
-    let limited = Limited::new(body, MAX_RESPONSE_BYTES);
-    let collected = tokio::time::timeout(timeout, limited.collect()).await.ok()?.ok()?;
-    Some(collected.to_bytes())
+/// `timeout`, or if all bodies together take up more than `memory`, which has a permit for each KiB.
+async fn collect_body(body: Incoming, timeout: Duration, memory: &Semaphore) -> Option<Bytes> {
+    let collect = async {
+        let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+        let (mut collected, mut permits) = (BytesMut::new(), Vec::new());
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.ok()?.into_data() else { continue };
+            permits.push(memory.try_acquire_many(data.len().div_ceil(1024) as u32).ok()?);
+            collected.extend_from_slice(&data);
+        }
+        Some(collected.freeze())
+    };
+    tokio::time::timeout(timeout, collect).await.ok()?
 }
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -168,9 +168,15 @@
                 return end;
             }
         }
+        let mut waiting_since = self.request.cx.now();
         loop {
             let remaining = self.request.remaining_time();
-            let max_gap = if self.may_resume() { MAX_GAP.min(remaining) } else { remaining };
+            let waited = self.request.cx.now() - waiting_since;
+            let max_gap = if self.may_resume() {
+                MAX_GAP.saturating_sub(waited).min(remaining)
+            } else {
+                remaining
+            };
             let frame = tokio::select! {
                 frame = tokio::time::timeout(max_gap, opened.body.frame()) => frame,
                 () = self.chunks.closed() => return StreamEnd::CallerLeft,
@@ -179,6 +185,7 @@
                 && !self.request.remaining_time().is_zero()
                 && !self.should_switch_server(opened)
             {
+                waiting_since = self.request.cx.now();
                 continue;
             }
             let data = match frame {
@@ -189,10 +196,16 @@
                 Err(_) => return StreamEnd::Interrupted,
             };
             self.record_chunk(opened);
-            self.request.record_server_activity();
+            let last_event_id = self.last_event_id;
             if let Some(end) = self.forward_data(data).await {
                 return end;
             }
+            // Bytes that complete no event are no sign of life: a stalled server may still send
+            // one now and then.
+            if !self.is_resumable || self.last_event_id != last_event_id {
+                waiting_since = self.request.cx.now();
+                self.request.record_server_activity();
+            }
         }
     }
 
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -13,13 +13,17 @@
 
 use super::context::NodeContext;
 use super::peer_server::{add_loads, record_prompts};
-use super::rpc::{PeerError, Role, SyncPosition, SyncReply, SyncRequest};
+use super::rpc::{NO_SERVERS_WANTED, PeerError, Role, SyncPosition, SyncReply, SyncRequest};
 use super::store_reader::accept_config;
 use super::view::{AcceptedConfig, DomainLeader};
 
 /// Timeout for one call to the leader of this failure domain.
 const FOLLOW_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Timeout for a call to the leader of this failure domain that returns all servers. At the start of
+/// a large domain, all followers ask for them at once, which takes the leader's link a while.
+const FULL_REPLY_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// Timeout for one call to the leader of another failure domain, which may be in another region.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -37,6 +41,8 @@
 struct Following {
     leader: Option<DomainLeader>,
     have: SyncPosition,
+    /// Whether the leader's servers up to that position were applied.
+    has_servers: bool,
     failed_calls: u32,
     /// Whether a newer configuration is being fetched.
     fetching: Arc<AtomicBool>,
@@ -82,7 +88,7 @@
     if following.leader.as_ref() != Some(&leader) {
         *following = Following { leader: Some(leader.clone()), ..Following::default() };
     }
-    match call_leader(cx, following, &leader).await {
+    match call_leader(cx, following, &leader, applies_servers).await {
         Ok(reply) => {
             if following.failed_calls >= LOST_AFTER {
                 log::info!(holder = &*leader.vm; "holder regained");
@@ -106,14 +112,23 @@
     cx: &NodeContext,
     following: &Following,
     leader: &DomainLeader,
+    applies_servers: bool,
 ) -> Result<SyncReply, PeerError> {
-    let req = follower_request(cx, following);
+    let mut req = follower_request(cx, following);
+    let mut call_timeout = FOLLOW_TIMEOUT;
+    if !applies_servers {
+        req.have.servers = NO_SERVERS_WANTED;
+    } else if !following.has_servers {
+        // Tenure 0 asks for a full reply.
+        req.have.tenure = 0;
+        call_timeout = FULL_REPLY_TIMEOUT;
+    }
     let exchange = async {
         let connection = cx.peers.get_or_connect(leader.peers).await?;
-        connection.sync(req, FOLLOW_TIMEOUT).await
+        connection.sync(req, call_timeout).await
     };
     let timed_out = || PeerError { address: leader.peers, problem: "call timed out".to_owned() };
-    tokio::time::timeout(FOLLOW_TIMEOUT, exchange).await.unwrap_or_else(|_| Err(timed_out()))
+    tokio::time::timeout(call_timeout, exchange).await.unwrap_or_else(|_| Err(timed_out()))
 }
 
 fn follower_request(cx: &NodeContext, following: &Following) -> SyncRequest {
@@ -157,10 +172,7 @@
         }
     });
     following.have = reply.position;
-    if !applies_servers {
-        // Tenure 0 requests a full reply, since the changes in this one were not applied.
-        following.have.tenure = 0;
-    }
+    following.has_servers = applies_servers;
     let nodes = cx.fleet.view().members.len();
     cx.routing.lock().retry_budget.set_nodes(nodes);
     !reply.is_holder
--- /dev/null
+++ b/savoryport/tests/node_bad_servers.rs
@@ -0,0 +1,110 @@
+//! Servers that send what is no answer, tested with real node processes.
+
+mod node_site;
+
+use std::time::Duration;
+
+use node_site::{NodeSite, RequestKind, expected_stream};
+use savoryport_standin::backend::BackendFault;
+
+/// The number of requests that meet a server in trouble at once.
+const REQUESTS_AT_ONCE: usize = 36;
+
+/// The memory of the smallest VM of the users' deployments, in MB.
+const SMALLEST_VM_MB: u64 = 160;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Sets the fault of all servers whose ids start so.
+fn set_faults(site: &NodeSite, prefix: &str, fault: BackendFault) {
+    for server in site.servers.iter().filter(|server| server.id().starts_with(prefix)) {
+        server.set_fault(fault);
+    }
+}
+
+/// Sends requests of one kind at the same time, and returns how many were answered with success.
+fn send_at_once(site: &NodeSite, name: &str, kind: RequestKind) -> usize {
+    std::thread::scope(|scope| {
+        let senders: Vec<_> = (0..REQUESTS_AT_ONCE)
+            .map(|number| scope.spawn(move || site.send(0, &format!("{name}-{number}"), kind)))
+            .collect();
+        let responses =
+            senders.into_iter().map(|sender| sender.join().expect("the caller's thread ends"));
+        responses.filter(|response| response.status == 200 && response.body.is_some()).count()
+    })
+}
+
+#[test]
+fn bytes_without_end_are_no_answer_and_do_not_fill_the_memory() {
+    let site = NodeSite::start(1);
+    let cases = [
+        (BackendFault::EndlessHead, "plain", RequestKind::Idempotent),
+        (BackendFault::EndlessBody, "plain", RequestKind::Idempotent),
+        (BackendFault::EndlessBody, "plain", RequestKind::NonIdempotent),
+        (BackendFault::EndlessHead, "engine", RequestKind::Stream("m0")),
+        (BackendFault::EndlessEvent, "engine", RequestKind::Stream("m0")),
+    ];
+    for (number, (fault, servers, kind)) in cases.into_iter().enumerate() {
+        set_faults(&site, servers, fault);
+        assert_eq!(send_at_once(&site, &format!("endless-{number}"), kind), 0, "{fault:?}");
+        set_faults(&site, servers, BackendFault::None);
+        site.wait_until("the servers serve again", |site| {
+            site.send(0, &format!("after-{number}"), kind).status == 200
+        });
+        let peak = site.nodes[0].peak_memory_mb();
+        assert!(peak < SMALLEST_VM_MB, "{peak} MB after {fault:?}");
+    }
+    assert!(site.runs().iter().all(|(id, runs)| !id.starts_with("endless-2") || *runs <= 1));
+}
+
+#[test]
+fn a_second_copy_of_an_answer_reaches_nobody() {
+    let site = NodeSite::start(1);
+    for after in [ms(0), ms(15), ms(60)] {
+        set_faults(&site, "plain", BackendFault::RepeatsResponses { after });
+        for number in 0..24 {
+            let id = format!("copy-{}-{number}", after.as_millis());
+            let response = site.send(0, &id, RequestKind::Idempotent);
+            if response.status == 200 {
+                assert_eq!(response.body, Some(format!("answer to {id}")));
+            }
+        }
+    }
+}
+
+#[test]
+fn a_stream_that_only_drips_goes_on_at_another_server() {
+    let mut site = NodeSite::start(1);
+    site.models.push(("m3", 0.4));
+    // The first of the two is selected, since both are idle.
+    site.add_server("drip-a", "drafts", &["m3"]);
+    site.server("drip-a").set_fault(BackendFault::Drips { interval: ms(200) });
+    site.add_server("sound-b", "drafts", &["m3"]);
+    site.write_config();
+    site.wait_until("both servers are known", |site| {
+        let status = site.nodes[0].status();
+        ["drip-a", "sound-b"].iter().all(|id| status.contains(id))
+    });
+    let stream = site.send(0, "drip", RequestKind::Stream("m3"));
+    assert_eq!((stream.status, stream.body), (200, Some(expected_stream("drip"))));
+    assert_eq!(site.server("drip-a").runs_of("drip"), 1);
+}
+
+#[test]
+fn a_slow_but_sound_stream_is_not_cut() {
+    let mut site = NodeSite::start(1);
+    site.models.push(("m3", 0.4));
+    for id in ["slow-a", "slow-b"] {
+        site.add_server_with_interval(id, "drafts", &["m3"], ms(400));
+    }
+    site.write_config();
+    site.wait_until("both servers are known", |site| {
+        let status = site.nodes[0].status();
+        ["slow-a", "slow-b"].iter().all(|id| status.contains(id))
+    });
+    let stream = site.send(0, "slow", RequestKind::Stream("m3"));
+    assert_eq!((stream.status, stream.body), (200, Some(expected_stream("slow"))));
+    assert_eq!(site.runs_of("slow"), 1, "it stays at its first server");
+}
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -358,6 +358,15 @@
         body.unwrap_or_else(|| "no status".to_owned())
     }
 
+    /// Returns the most memory that the process has taken up so far, in MB.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let id = self.process.as_ref().expect("the process runs").id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak_kb = peak.and_then(|peak| peak.trim().trim_end_matches(" kB").parse::<u64>().ok());
+        peak_kb.expect("the kernel tells the peak") / 1024
+    }
+
     /// Sends a caller's request to this node.
     pub fn send(&self, id: &str, kind: RequestKind) -> CallerResponse {
         send_request(&self.callers, id, kind)
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -61,6 +61,22 @@
     WrongRequestId,
     /// Neither executes orders nor responds to them.
     IgnoresOrders,
+    /// Sends headers without end, until the client closes the connection.
+    EndlessHead,
+    /// Sends a body without end, until the client closes the connection.
+    EndlessBody,
+    /// Sends a stream that starts well and goes on with bytes that are no event.
+    EndlessEvent,
+    /// Sends a second copy of each response a while after the first one, on the same connection.
+    RepeatsResponses {
+        /// The time from the first copy to the second one.
+        after: Duration,
+    },
+    /// Sends one byte of a response at a time and never completes an event.
+    Drips {
+        /// The time between two bytes.
+        interval: Duration,
+    },
 }
 
 #[derive(Default)]
@@ -293,6 +309,26 @@
         }
         BackendFault::InternalError => respond(req, cfg, 500, &id, "failed"),
         BackendFault::WrongRequestId => respond(req, cfg, 200, "somebody-else", "not yours"),
+        BackendFault::EndlessHead => {
+            let head = format!("HTTP/1.1 200 OK\r\n{}", proof_headers(cfg, &id));
+            send_endlessly(req, &head, "X-Filler: ");
+        }
+        BackendFault::EndlessBody => {
+            let head = format!("HTTP/1.1 200 OK\r\n{}\r\n", proof_headers(cfg, &id));
+            send_endlessly(req, &head, "");
+        }
+        BackendFault::EndlessEvent => {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{}\r\nid: 1\ndata: ",
+                proof_headers(cfg, &id)
+            );
+            send_endlessly(req, &head, "");
+        }
+        BackendFault::Drips { interval } => drip(req, cfg, &id, interval),
+        BackendFault::RepeatsResponses { after } => {
+            thread::sleep(cfg.event_interval);
+            respond_twice(req, cfg, &id, after);
+        }
         _ if target.is_some() => stream_events(req, cfg, &id, fault),
         _ => {
             thread::sleep(cfg.event_interval);
@@ -317,6 +353,53 @@
     let _ = req.respond(response);
 }
 
+fn proof_headers(cfg: &BackendConfig, id: &str) -> String {
+    format!("X-Attempt-Id: {id}\r\nX-Server-Stamp: stamp.{}\r\n", cfg.id)
+}
+
+/// Sends `head` and then filler lines, each starting with `line_start`, until the client closes the
+/// connection.
+fn send_endlessly(req: Request, head: &str, line_start: &str) {
+    let line = format!("{line_start}{}\r\n", "x".repeat(1_000));
+    // Without a line start the filler contains no line break, so that it ends nothing.
+    let filler = if line_start.is_empty() { "x".repeat(64 * 1024) } else { line };
+    let mut writer = req.into_writer();
+    if writer.write_all(head.as_bytes()).is_err() {
+        return;
+    }
+    while writer.write_all(filler.as_bytes()).and_then(|()| writer.flush()).is_ok() {}
+}
+
+/// Sends the head of a stream and then single bytes of an event without end.
+fn drip(req: Request, cfg: &BackendConfig, id: &str, interval: Duration) {
+    let mut writer = req.into_writer();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{}\r\nid: 1\ndata: ",
+        proof_headers(cfg, id)
+    );
+    let _ = writer.write_all(head.as_bytes());
+    while writer.flush().is_ok() {
+        thread::sleep(interval);
+        if writer.write_all(b"x").is_err() {
+            return;
+        }
+    }
+}
+
+/// Sends the same response twice on one connection.
+fn respond_twice(req: Request, cfg: &BackendConfig, id: &str, after: Duration) {
+    let body = format!("answer to {id}");
+    let response = format!(
+        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n{}\r\n{body}",
+        body.len(),
+        proof_headers(cfg, id)
+    );
+    let mut writer = req.into_writer();
+    let _ = writer.write_all(response.as_bytes()).and_then(|()| writer.flush());
+    thread::sleep(after);
+    let _ = writer.write_all(response.as_bytes()).and_then(|()| writer.flush());
+}
+
 fn stream_events(req: Request, cfg: &BackendConfig, id: &str, fault: BackendFault) {
     /// The event in which [`BackendFault::BreaksStreams`] breaks off, counted from 1.
     const BREAK_EVENT: u64 = 3;
