--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -53,6 +53,8 @@
     pub config_version: u64,
     /// Models for the next configuration, with the load time of each in seconds.
     pub models: Vec<(&'static str, f64)>,
+    /// The timeout of all routes in the next configuration, in milliseconds.
+    pub route_timeout_ms: f64,
     /// The number of servers started so far, from which each gets its own incarnation.
     starts: u64,
     _dir: TempDir,
@@ -92,6 +94,7 @@
             nodes: Vec::new(),
             config_version: 1,
             models: MODELS.to_vec(),
+            route_timeout_ms: 4_000.0,
             starts: 0,
             _dir: dir,
         };
@@ -119,10 +122,11 @@
     /// Writes the next version of the configuration.
     pub fn write_config(&mut self) {
         self.config_version += 1;
+        let timeout_ms = self.route_timeout_ms;
         let route = |name: &str, path: &str, kind: &str, service: &str| {
             json!({
                 "name": name, "host": "site.example", "pathPrefix": path, "kind": kind,
-                "timeoutMs": 4_000, "targetLatencyMs": 500, "priority": 0, "service": service,
+                "timeoutMs": timeout_ms, "targetLatencyMs": 500, "priority": 0, "service": service,
                 "maxAttempts": if kind == "non_idempotent" { 1 } else { 2 },
                 "resumable": kind == "streaming", "sessionAffinity": kind == "streaming",
             })
@@ -358,6 +362,11 @@
         body.unwrap_or_else(|| "no status".to_owned())
     }
 
+    /// Returns the address for calls of other nodes.
+    pub fn peers_address(&self) -> String {
+        format!("127.0.0.1:{}", self.settings["peers_port"])
+    }
+
     /// Returns the most memory that the process has taken up so far, in MB.
     pub fn peak_memory_mb(&self) -> u64 {
         let id = self.process.as_ref().expect("the process runs").id();
--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -448,11 +448,14 @@
     started: Vec<Instant>,
 }
 
+/// The largest number of loads in a window that is counted; more is no limit at all.
+const MAX_LOADS: f64 = 10_000.0;
+
 impl LoadRateLimiter {
     /// Creates the limiter of the domain with this index among `domains` domains in order.
     pub fn new(loads_per_s: f64, window: Duration, index: usize, domains: usize) -> Self {
         let domains = domains.max(1);
-        let total = (loads_per_s * window.as_secs_f64()).floor().max(1.0) as usize;
+        let total = (loads_per_s * window.as_secs_f64()).floor().clamp(1.0, MAX_LOADS) as usize;
         let max_loads = total / domains + usize::from(index < total % domains);
         Self { window, max_loads, started: Vec::new() }
     }
--- a/savoryport_core/src/node/request.rs
+++ b/savoryport_core/src/node/request.rs
@@ -48,7 +48,7 @@
             .iter()
             .map(|part| {
                 key = xxh3_64_with_seed(&part.id.to_le_bytes(), key);
-                tokens += part.tokens;
+                tokens = u32::saturating_add(tokens, part.tokens);
                 (key, tokens)
             })
             .collect()
