Ask leaders less often in a large domain, and give them up later

Cause: on the large site the leader of a domain with 50 nodes and a link of 20 Mbit/s answered 1,000 syncs a second with the loads of 166 servers, about 40 Mbit/s.

Change: the sync period grows with the nodes of the domain, more so for a node without requests in flight; a leader counts as lost after 1.2 s of silence, as its lease has to expire first anyway; nodes with slow links campaign later; leaders of small fleets exchange loads every 100 ms.

--- a/savoryport/src/node/leadership.rs
+++ b/savoryport/src/node/leadership.rs
@@ -34,6 +34,12 @@
 /// proportional to the CPU share, so that the VM with the most CPU wins.
 const CAMPAIGN_DELAY: Duration = Duration::from_millis(40);
 
+/// Bandwidth of a link, in Mbit/s, below which a VM campaigns later.
+const LEADER_LINK_MBPS: f64 = 100.0;
+
+/// Upper bound of the factor by which a VM with a slow link campaigns later.
+const MAX_LINK_SLOWNESS: f64 = 4.0;
+
 /// CPU share, as a fraction of a core, below which the delay no longer grows.
 const MIN_CPU_SHARE: f64 = 0.1;
 
@@ -76,10 +82,14 @@
 
 fn campaign_jitter(cx: &NodeContext) -> Duration {
     let nodes = cx.fleet.read(|state| state.domain_members(&cx.settings.failure_domain).len());
-    if nodes <= 1 {
-        return START_CAMPAIGN_JITTER;
-    }
-    (CAMPAIGN_JITTER_PER_NODE * nodes as u32).max(MIN_CAMPAIGN_JITTER)
+    let range = if nodes <= 1 {
+        START_CAMPAIGN_JITTER
+    } else {
+        (CAMPAIGN_JITTER_PER_NODE * nodes as u32).max(MIN_CAMPAIGN_JITTER)
+    };
+    // A leader needs the link more than the processor: all followers get their news through it.
+    let slowness = (LEADER_LINK_MBPS / cx.settings.link_mbps).clamp(1.0, MAX_LINK_SLOWNESS);
+    range.mul_f64(slowness)
 }
 
 impl Campaign {
--- a/savoryport/src/node/settings.rs
+++ b/savoryport/src/node/settings.rs
@@ -46,6 +46,8 @@
     pub cpu_share: f64,
     /// The memory that the process may use, in MB. Default 256.
     pub memory_mb: u64,
+    /// The bandwidth of the VM's network link, in Mbit/s. Default 1,000.
+    pub link_mbps: f64,
     /// The number of file descriptors that the process may use. Default 4,096.
     pub file_descriptors: u64,
     /// The minimum time between the orders of two successive leaders to one server, in
@@ -68,10 +70,11 @@
     pub store_poll_ms: u64,
     /// Timeout for a call to the store, in milliseconds. Default 1,000.
     pub store_timeout_ms: u64,
-    /// The interval between two syncs of a follower with its leader, in milliseconds. Default 50.
+    /// The shortest interval between two syncs of a follower with its leader, in milliseconds; it is
+    /// longer in a large failure domain. Default 50.
     pub sync_period_ms: u64,
-    /// The interval between two syncs of a leader with the other leaders, in milliseconds. Default
-    /// 250.
+    /// The shortest interval between two syncs of a leader with the other leaders, in milliseconds;
+    /// it is longer in a large fleet. Default 100.
     pub exchange_period_ms: u64,
     /// The interval between two planning rounds for the placement of models, in milliseconds.
     /// Default 100.
@@ -112,6 +115,7 @@
             first_start: false,
             cpu_share: 1.0,
             memory_mb: 256,
+            link_mbps: 1_000.0,
             file_descriptors: 4_096,
             order_turn_ms: 3_000,
             min_lease_ms: 1_000,
@@ -123,7 +127,7 @@
             store_poll_ms: 1_000,
             store_timeout_ms: 1_000,
             sync_period_ms: 50,
-            exchange_period_ms: 250,
+            exchange_period_ms: 100,
             placement_period_ms: 100,
             connect_timeout_ms: 400,
             adapter_load_ms: 12,
@@ -230,6 +234,7 @@
         check("exchange_period_ms", self.exchange_period_ms >= 20, "20 or more");
         check("placement_period_ms", self.placement_period_ms >= 10, "10 or more");
         check("cpu_share", self.cpu_share > 0.0, "more than 0");
+        check("link_mbps", self.link_mbps > 0.0, "more than 0");
         check("stop_within_s", self.stop_within_s > 0.5, "more than 0.5");
         check("load_window_s", self.load_window_s > 0.0, "more than 0");
         check("retry_ratio", self.retry_ratio >= 0.0, "0 or more");
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use savoryport_core::Name;
 use savoryport_core::node::load::ServerLoad;
@@ -33,8 +33,18 @@
 /// Interval at which the routing state of servers that are gone is removed.
 const CLEANUP_PERIOD: Duration = Duration::from_secs(5);
 
-/// Number of consecutive failed calls after which a leader counts as lost.
-const LOST_AFTER: u32 = 2;
+/// A leader that has not answered for this long counts as lost. The store knows it no earlier, as its
+/// lease has to expire first.
+const LOST_AFTER: Duration = Duration::from_millis(1_200);
+
+/// The share of the sync period for each node of the failure domain, where requests are in flight.
+const PERIOD_PER_NODE: Duration = Duration::from_micros(2_500);
+
+/// That share for a node without requests in flight.
+const IDLE_PERIOD_PER_NODE: Duration = Duration::from_micros(6_000);
+
+/// The longest sync period, well below the time after which a silent follower is forgotten.
+const MAX_SYNC_PERIOD: Duration = Duration::from_millis(300);
 
 /// The state of a follower's syncs with its leader.
 #[derive(Debug, Default)]
@@ -43,7 +53,10 @@
     have: SyncPosition,
     /// Whether the leader's servers up to that position were applied.
     has_servers: bool,
-    failed_calls: u32,
+    /// Since when calls have failed.
+    failing_since: Option<Instant>,
+    /// Whether the leader counts as lost.
+    is_lost: bool,
     /// Whether a newer configuration is being fetched.
     fetching: Arc<AtomicBool>,
 }
@@ -53,7 +66,6 @@
 pub async fn follow(cx: Arc<NodeContext>, read_store: watch::Sender<bool>) {
     let mut following = Following::default();
     let mut cleaned_at = cx.now();
-    let period = Duration::from_millis(cx.settings.sync_period_ms);
     loop {
         let applies_servers = !*read_store.borrow();
         let must_read_store = follow_once(&cx, &mut following, applies_servers).await;
@@ -65,10 +77,20 @@
         }
         read_store
             .send_if_modified(|reads| std::mem::replace(reads, must_read_store) != must_read_store);
-        tokio::time::sleep(period).await;
+        tokio::time::sleep(sync_period(&cx)).await;
     }
 }
 
+/// Returns the interval between two syncs. The more nodes a domain has, the less often each one
+/// calls the leader, whose link and processor are those of a small VM.
+fn sync_period(cx: &NodeContext) -> Duration {
+    let nodes = cx.fleet.read(|state| state.domain_members(&cx.settings.failure_domain).len());
+    let is_idle = cx.routing.lock().loads.own().is_empty();
+    let per_node = if is_idle { IDLE_PERIOD_PER_NODE } else { PERIOD_PER_NODE };
+    let shortest = Duration::from_millis(cx.settings.sync_period_ms);
+    (per_node * nodes as u32).min(MAX_SYNC_PERIOD).max(shortest)
+}
+
 /// Calls the leader once, unless this node is a leader itself; returns whether this node has to
 /// read the store.
 async fn follow_once(
@@ -88,22 +110,24 @@
     if following.leader.as_ref() != Some(&leader) {
         *following = Following { leader: Some(leader.clone()), ..Following::default() };
     }
+    let called_at = cx.now();
     match call_leader(cx, following, &leader, applies_servers).await {
         Ok(reply) => {
-            if following.failed_calls >= LOST_AFTER {
+            if following.is_lost {
                 log::info!(holder = &*leader.vm; "holder regained");
             }
-            following.failed_calls = 0;
+            (following.failing_since, following.is_lost) = (None, false);
             fetch_config(cx, &leader, &following.fetching, reply.position.config);
             apply_reply(cx, following, reply, applies_servers)
         }
         Err(err) => {
-            following.failed_calls += 1;
-            if following.failed_calls == LOST_AFTER {
+            let now = cx.now();
+            let since = *following.failing_since.get_or_insert(called_at);
+            if now - since >= LOST_AFTER && !std::mem::replace(&mut following.is_lost, true) {
                 log::warn!(holder = &*leader.vm, err:% = err; "holder lost");
             }
             cx.peers.remove(leader.peers);
-            following.failed_calls >= LOST_AFTER
+            following.is_lost || !applies_servers
         }
     }
 }
@@ -198,9 +222,8 @@
 /// Exchanges loads and changes with the leaders of other failure domains while this node leads one.
 pub async fn exchange(cx: Arc<NodeContext>) {
     let mut positions: HashMap<Name, SyncPosition> = HashMap::new();
-    let period = Duration::from_millis(cx.settings.exchange_period_ms);
     loop {
-        tokio::time::sleep(period).await;
+        tokio::time::sleep(exchange_period(&cx)).await;
         if !cx.controllers.leads_any() {
             positions.clear();
             continue;
@@ -223,6 +246,15 @@
     }
 }
 
+/// Returns the interval between two exchanges. Their messages grow with the fleet, so that a large
+/// one exchanges them less often.
+fn exchange_period(cx: &NodeContext) -> Duration {
+    /// The share of the interval for each node.
+    const PERIOD_PER_NODE: Duration = Duration::from_millis(1);
+    let nodes = cx.fleet.view().members.len() as u32;
+    Duration::from_millis(cx.settings.exchange_period_ms).max(PERIOD_PER_NODE * nodes)
+}
+
 /// Fetches a newer configuration from another node in a task of its own: a configuration with many
 /// routes takes longer than the exchange of other state may be delayed.
 fn fetch_config(
