Return to a leader with the changes alone, and spread first full replies

Cause: a follower that had lost its leader for a moment asked for all servers on its return, some 80 KB. With 50 followers that filled the leader's link of 20 Mbit/s, so that more of them lost it, every four seconds. Loads were seconds old then: 2,137 to 2,728 of 18,000 arrivals at engines were not run, as too many nodes chose the same servers.

Change: the follower keeps its position and asks for the changes since; servers that it found in the store meanwhile and that the leader does not know are dropped. The first full replies of a large domain are spread over a second. Nodes with requests sync every 60 ms in a domain of 50. A node without a leader reads all keys every 1.5 s and retries within 2 s.

--- a/savoryport/src/node/fleet.rs
+++ b/savoryport/src/node/fleet.rs
@@ -319,6 +319,14 @@
         }
     }
 
+    /// Removes the servers whose ids `keep` rejects.
+    pub fn retain_servers(&mut self, keep: impl Fn(&Name) -> bool) {
+        let ids: Vec<Name> = self.registry.servers().keys().cloned().collect();
+        for id in ids.iter().filter(|id| !keep(id)) {
+            self.registry.remove(id);
+        }
+    }
+
     fn next_view(&mut self, last: &FleetView) -> Option<FleetView> {
         let servers_changed = self.merge_servers();
         let members = self.sorted_members();
--- a/savoryport/src/node/store_reader.rs
+++ b/savoryport/src/node/store_reader.rs
@@ -19,8 +19,9 @@
 /// Prefix of the keys in the store that name the leaders, one for each failure domain.
 pub const LEADER_KEY_PREFIX: &str = "savoryport/duty/";
 
-/// How long a node without a leader waits for news of one before it reads all keys again.
-const LEADER_WATCH: Duration = Duration::from_secs(4);
+/// How long a node without a leader waits for news of one before it reads all keys again. Within this
+/// time it does not learn of servers that leave.
+const LEADER_WATCH: Duration = Duration::from_millis(1_500);
 
 /// The store counts as unavailable when a call has failed and it has not answered for this long. If
 /// no call has failed, twice that time.
@@ -32,8 +33,9 @@
 /// Upper bound of the delay after failed calls of a leader.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
-/// Upper bound of the delay after failed calls of a node that leads nothing.
-const MAX_IDLE_RETRY_DELAY: Duration = Duration::from_secs(5);
+/// Upper bound of the delay after failed calls of a node that leads nothing. After an outage the node
+/// does not learn of servers that leave until its next call.
+const MAX_IDLE_RETRY_DELAY: Duration = Duration::from_secs(2);
 
 /// The number of nodes of a failure domain that retry within [`MAX_RETRY_DELAY`]. Where there are
 /// more, each waits longer, so that an outage is not met by more calls the more nodes there are.
@@ -164,7 +166,7 @@
 /// time. `random` is uniform in 0..1.
 fn retry_delay(failures: u32, max_delay: Duration, random: f64) -> Duration {
     let delay = FIRST_RETRY_DELAY * 2_u32.pow(failures.min(7) - 1);
-    delay.min(max_delay).mul_f64(0.5 + random)
+    delay.min(max_delay).mul_f64(0.5 + random / 2.0)
 }
 
 fn max_retry_delay(cx: &NodeContext) -> Duration {
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -1,7 +1,7 @@
 //! The client side of the calls between nodes: a follower exchanges state with the leader of its
 //! failure domain, and leaders exchange state with each other.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -20,9 +20,12 @@
 /// Timeout for one call to the leader of this failure domain.
 const FOLLOW_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Timeout for a call to the leader of this failure domain that returns all servers. At the start of
-/// a large domain, all followers ask for them at once, which takes the leader's link a while.
-const FULL_REPLY_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// The time that a call to the leader which returns all servers has in addition, for each node of
+/// the failure domain: at the start all followers ask for them at once.
+const FULL_REPLY_TIME_PER_NODE: Duration = Duration::from_millis(20);
+
+/// The number of followers that may ask for all servers at the same time.
+const MAX_FULL_REPLIES_AT_ONCE: u32 = 12;
 
 /// Timeout for one call to the leader of another failure domain, which may be in another region.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -33,12 +36,16 @@
 /// Interval at which the routing state of servers that are gone is removed.
 const CLEANUP_PERIOD: Duration = Duration::from_secs(5);
 
-/// A leader that has not answered for this long counts as lost. The store knows it no earlier, as its
-/// lease has to expire first.
-const LOST_AFTER: Duration = Duration::from_millis(1_200);
+/// A leader that has not answered for this long, and for [`LOST_AFTER_PER_NODE`] for each node of the
+/// failure domain, counts as lost. Its followers then read the store, which many nodes should not do
+/// for a short pause. Until then they do not learn of servers that leave.
+const LOST_AFTER: Duration = Duration::from_millis(600);
+
+/// The part of that time for each node.
+const LOST_AFTER_PER_NODE: Duration = Duration::from_millis(12);
 
 /// The share of the sync period for each node of the failure domain, where requests are in flight.
-const PERIOD_PER_NODE: Duration = Duration::from_micros(2_500);
+const PERIOD_PER_NODE: Duration = Duration::from_micros(1_200);
 
 /// That share for a node without requests in flight.
 const IDLE_PERIOD_PER_NODE: Duration = Duration::from_micros(6_000);
@@ -53,6 +60,11 @@
     have: SyncPosition,
     /// Whether the leader's servers up to that position were applied.
     has_servers: bool,
+    /// The servers known when this node began to read the store itself, after a pause of the
+    /// leader.
+    known_before: Option<HashSet<Name>>,
+    /// Before this time, the node does not ask for all servers.
+    full_reply_after: Option<Instant>,
     /// Since when calls have failed.
     failing_since: Option<Instant>,
     /// Whether the leader counts as lost.
@@ -61,6 +73,14 @@
     fetching: Arc<AtomicBool>,
 }
 
+impl Following {
+    /// Notes the servers that are known before this node reads the store itself.
+    fn start_reading(&mut self, cx: &NodeContext) {
+        let known = || cx.fleet.read(|state| state.registry.servers().keys().cloned().collect());
+        self.known_before.get_or_insert_with(known);
+    }
+}
+
 /// Follows the leader of this node's failure domain. `read_store` tells the store reader whether
 /// this node has to read the store itself.
 pub async fn follow(cx: Arc<NodeContext>, read_store: watch::Sender<bool>) {
@@ -84,11 +104,14 @@
 /// Returns the interval between two syncs. The more nodes a domain has, the less often each one
 /// calls the leader, whose link and processor are those of a small VM.
 fn sync_period(cx: &NodeContext) -> Duration {
-    let nodes = cx.fleet.read(|state| state.domain_members(&cx.settings.failure_domain).len());
     let is_idle = cx.routing.lock().loads.own().is_empty();
     let per_node = if is_idle { IDLE_PERIOD_PER_NODE } else { PERIOD_PER_NODE };
     let shortest = Duration::from_millis(cx.settings.sync_period_ms);
-    (per_node * nodes as u32).min(MAX_SYNC_PERIOD).max(shortest)
+    (per_node * nodes_in_domain(cx)).min(MAX_SYNC_PERIOD).max(shortest)
+}
+
+fn nodes_in_domain(cx: &NodeContext) -> u32 {
+    cx.fleet.read(|state| state.domain_members(&cx.settings.failure_domain).len() as u32)
 }
 
 /// Calls the leader once, unless this node is a leader itself; returns whether this node has to
@@ -123,8 +146,10 @@
         Err(err) => {
             let now = cx.now();
             let since = *following.failing_since.get_or_insert(called_at);
-            if now - since >= LOST_AFTER && !std::mem::replace(&mut following.is_lost, true) {
+            let lost_after = LOST_AFTER + LOST_AFTER_PER_NODE * nodes_in_domain(cx);
+            if now - since >= lost_after && !std::mem::replace(&mut following.is_lost, true) {
                 log::warn!(holder = &*leader.vm, err:% = err; "holder lost");
+                following.start_reading(cx);
             }
             cx.peers.remove(leader.peers);
             following.is_lost || !applies_servers
@@ -145,7 +170,7 @@
     } else if !following.has_servers {
         // Tenure 0 asks for a full reply.
         req.have.tenure = 0;
-        call_timeout = FULL_REPLY_TIMEOUT;
+        call_timeout += FULL_REPLY_TIME_PER_NODE * nodes_in_domain(cx);
     }
     let exchange = async {
         let connection = cx.peers.get_or_connect(leader.peers).await?;
@@ -179,11 +204,19 @@
     let now = cx.now();
     // A node that cannot reach the store, or has just started, may know less than this one.
     let applies_servers = applies_servers && reply.is_holder;
+    let known_before = following.known_before.take_if(|_| applies_servers);
     cx.routing.lock().loads.set_other_nodes(reply.loads.iter().cloned().collect());
     record_prompts(cx, &reply.prompts, now);
     cx.fleet.update(|state| {
         if applies_servers {
             state.apply_servers(&reply);
+            if let Some(known_before) = known_before {
+                // What this node found in the store meanwhile is only kept if the leader knows it
+                // too: the leader does not tell of servers that it has never known.
+                state.retain_servers(|id| {
+                    known_before.contains(id) || reply.servers.iter().any(|server| server.id == *id)
+                });
+            }
         }
         state.confirm_members(None, now);
         if let Some((members, leaders)) = &reply.members {
@@ -195,11 +228,33 @@
             }
         }
     });
-    following.have = reply.position;
-    following.has_servers = applies_servers;
+    let former = std::mem::replace(&mut following.have, reply.position);
+    if applies_servers {
+        following.has_servers = true;
+    } else {
+        // The servers since the last reply that was applied are still to come.
+        following.have.servers = former.servers;
+        following.has_servers &= former.tenure == reply.position.tenure;
+        following.full_reply_after.get_or_insert_with(|| now + full_reply_delay(cx));
+    }
     let nodes = cx.fleet.view().members.len();
     cx.routing.lock().retry_budget.set_nodes(nodes);
-    !reply.is_holder
+    let waits = !following.has_servers && following.full_reply_after.is_some_and(|at| now < at);
+    let must_read_store = !reply.is_holder || waits;
+    if must_read_store {
+        following.start_reading(cx);
+    }
+    must_read_store
+}
+
+/// Returns how long this node waits before it asks its leader for all servers, so that the followers
+/// of a large domain do not all ask at once. Until then it reads the store.
+fn full_reply_delay(cx: &NodeContext) -> Duration {
+    let nodes = nodes_in_domain(cx);
+    if nodes <= MAX_FULL_REPLIES_AT_ONCE {
+        return Duration::ZERO;
+    }
+    (FULL_REPLY_TIME_PER_NODE * nodes).mul_f64(cx.random_unit())
 }
 
 /// Adds this leader's own work and prompts to the collected reports, and copies the loads of all
@@ -250,7 +305,7 @@
 /// one exchanges them less often.
 fn exchange_period(cx: &NodeContext) -> Duration {
     /// The share of the interval for each node.
-    const PERIOD_PER_NODE: Duration = Duration::from_millis(1);
+    const PERIOD_PER_NODE: Duration = Duration::from_micros(500);
     let nodes = cx.fleet.view().members.len() as u32;
     Duration::from_millis(cx.settings.exchange_period_ms).max(PERIOD_PER_NODE * nodes)
 }
--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -20,7 +20,7 @@
 use crate::node::registry::BackendServer;
 
 /// The demand for one copy, in servers, above which another copy is worth a load.
-const MAX_COPY_DEMAND: f64 = 0.35;
+const MAX_COPY_DEMAND: f64 = 0.45;
 
 /// The demand, in servers, from which a domain without a copy gets one of its own. Single requests
 /// stay below it.
