Replaced stand-ins refuse what still reaches them

A real server's connections end with it, and whoever takes over its address answers 421.

Change: the test site keeps replaced stand-ins, which answer 421. The bound of the test is as before.

--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
-use savoryport_standin::backend::{BackendConfig, BackendStandin};
+use savoryport_standin::backend::{BackendConfig, BackendFault, BackendStandin};
 use savoryport_standin::fleet::free_address;
 use savoryport_standin::metadata::MetadataStandin;
 use savoryport_standin::proxy::Proxy;
@@ -49,6 +49,8 @@
 pub struct NodeSite {
     pub store: MetadataStandin,
     pub servers: Vec<BackendStandin>,
+    /// Servers that others have replaced.
+    replaced: Vec<BackendStandin>,
     pub nodes: Vec<SiteNode>,
     pub config_version: u64,
     /// Models for the next configuration, with the load time of each in seconds.
@@ -91,6 +93,7 @@
         let mut site = Self {
             store,
             servers: Vec::new(),
+            replaced: Vec::new(),
             nodes: Vec::new(),
             config_version: 1,
             models: MODELS.to_vec(),
@@ -194,11 +197,14 @@
     /// Replaces the engines by new ones with the same ids, which hold no models.
     pub fn restart_engines(&mut self) {
         let is_engine = |server: &BackendStandin| server.id().starts_with("engine-");
-        let ids: Vec<String> = self
-            .servers
-            .extract_if(.., |server| is_engine(server))
-            .map(|server| server.id().to_owned())
-            .collect();
+        let replaced: Vec<BackendStandin> =
+            self.servers.extract_if(.., |server| is_engine(server)).collect();
+        let ids: Vec<String> = replaced.iter().map(|server| server.id().to_owned()).collect();
+        for server in &replaced {
+            server.set_fault(BackendFault::Replaced);
+        }
+        // A stand-in that has stopped keeps its connections open, and never answers on them.
+        self.replaced.extend(replaced);
         for id in ids {
             self.add_server(&id, "drafts", &[]);
         }
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -61,6 +61,8 @@
     WrongRequestId,
     /// Neither executes orders nor responds to them.
     IgnoresOrders,
+    /// Refuses everything, as another server does that has taken over the address.
+    Replaced,
     /// Sends headers without end, until the client closes the connection.
     EndlessHead,
     /// Sends a body without end, until the client closes the connection.
@@ -198,6 +200,10 @@
 
 fn handle(state: &Mutex<State>, cfg: &BackendConfig, incarnation: u64, mut req: Request) {
     let body = read_body(&mut req);
+    let fault = state.lock().expect("no thread panics while holding the lock").fault;
+    if fault == BackendFault::Replaced {
+        return reject(req, 421);
+    }
     match (req.method(), req.url()) {
         (Method::Get, "/savoryport/report") => send_report(state, incarnation, req),
         (Method::Post, "/savoryport/order") => handle_order(state, cfg, &body, req),
