Let the faster VMs lead again

Cause: since elections were spread over a second at the start, VMs with 0.12 of a core won as often as others. As leaders of 50 followers they answered late, so that followers lost them and routed by old loads.

--- a/savoryport/src/node/leadership.rs
+++ b/savoryport/src/node/leadership.rs
@@ -19,26 +19,19 @@
 /// Interval between checks for vacant failure domains, that is, those without a leader.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The random delay, for each node of the failure domain, that spreads the attempts of competing
-/// nodes: about the time in which the others learn of a success.
-const CAMPAIGN_JITTER_PER_NODE: Duration = Duration::from_millis(30);
-
-/// The shortest range of that delay.
-const MIN_CAMPAIGN_JITTER: Duration = Duration::from_millis(200);
-
-/// The range of that delay while no other node of the failure domain is known, as at the start of
-/// hundreds of nodes at once.
-const START_CAMPAIGN_JITTER: Duration = Duration::from_millis(1_000);
+/// Upper bound of the random delay that spreads the attempts of competing nodes. It is short, so that
+/// the delays by processor and link decide which VM wins.
+const CAMPAIGN_JITTER: Duration = Duration::from_millis(150);
 
 /// Delay before a VM with a whole core tries to become the leader. The delay is inversely
 /// proportional to the CPU share, so that the VM with the most CPU wins.
-const CAMPAIGN_DELAY: Duration = Duration::from_millis(40);
+const CAMPAIGN_DELAY: Duration = Duration::from_millis(50);
 
 /// Bandwidth of a link, in Mbit/s, below which a VM campaigns later.
 const LEADER_LINK_MBPS: f64 = 100.0;
 
 /// Upper bound of the factor by which a VM with a slow link campaigns later.
-const MAX_LINK_SLOWNESS: f64 = 4.0;
+const MAX_LINK_SLOWNESS: f64 = 2.0;
 
 /// CPU share, as a fraction of a core, below which the delay no longer grows.
 const MIN_CPU_SHARE: f64 = 0.1;
@@ -69,8 +62,7 @@
             continue;
         }
         for domain in campaign.eligible_domains(&cx) {
-            let delay = CAMPAIGN_DELAY.div_f64(cx.settings.cpu_share.max(MIN_CPU_SHARE));
-            tokio::time::sleep(delay + campaign_jitter(&cx).mul_f64(cx.random_unit())).await;
+            tokio::time::sleep(campaign_delay(&cx)).await;
             if cx.fleet.read(|state| state.leader(&domain).is_some()) {
                 continue;
             }
@@ -80,16 +72,12 @@
     release_all(&cx).await;
 }
 
-fn campaign_jitter(cx: &NodeContext) -> Duration {
-    let nodes = cx.fleet.read(|state| state.domain_members(&cx.settings.failure_domain).len());
-    let range = if nodes <= 1 {
-        START_CAMPAIGN_JITTER
-    } else {
-        (CAMPAIGN_JITTER_PER_NODE * nodes as u32).max(MIN_CAMPAIGN_JITTER)
-    };
-    // A leader needs the link more than the processor: all followers get their news through it.
+/// Returns how long this node waits before it tries to become the leader: the shorter, the faster its
+/// processor and its link, through which all followers get their news.
+fn campaign_delay(cx: &NodeContext) -> Duration {
     let slowness = (LEADER_LINK_MBPS / cx.settings.link_mbps).clamp(1.0, MAX_LINK_SLOWNESS);
-    range.mul_f64(slowness)
+    let delay = CAMPAIGN_DELAY.div_f64(cx.settings.cpu_share.max(MIN_CPU_SHARE));
+    delay.mul_f64(slowness) + CAMPAIGN_JITTER.mul_f64(cx.random_unit())
 }
 
 impl Campaign {
