Show how a paused stream is lost, as a known red test

At 27.319 s the node closed a batch-spec stream that its server had been running since 23.522 s, and sent the request to a server that answered 421; the caller's answer was cut off 3 ms later. Ruled out: a change of the configuration, beside which the rule counts it (the request kept its route), and the server (its run ends as cut by the caller).

Change: a test with a server that pauses for 2 s and another one that refuses.

--- a/savoryport/tests/node_bad_servers.rs
+++ b/savoryport/tests/node_bad_servers.rs
@@ -108,3 +108,21 @@
     assert_eq!((stream.status, stream.body), (200, Some(expected_stream("slow"))));
     assert_eq!(site.runs_of("slow"), 1, "it stays at its first server");
 }
+
+#[test]
+fn a_sound_stream_that_pauses_is_not_lost_if_the_other_server_refuses_it() {
+    let mut site = NodeSite::start(1);
+    site.models.push(("m3", 0.4));
+    // The first of the two is selected, since both are idle. It preempts the stream for a while.
+    site.add_server("pause-a", "drafts", &["m3"]);
+    site.server("pause-a").set_fault(BackendFault::Stalls { before_event: 3, pause: ms(2_000) });
+    site.add_server("refuse-b", "drafts", &["m3"]);
+    site.server("refuse-b").set_fault(BackendFault::Replaced);
+    site.write_config();
+    site.wait_until("both servers are known", |site| {
+        let status = site.nodes[0].status();
+        ["pause-a", "refuse-b"].iter().all(|id| status.contains(id))
+    });
+    let stream = site.send(0, "paused", RequestKind::Stream("m3"));
+    assert_eq!((stream.status, stream.body), (200, Some(expected_stream("paused"))));
+}
