--- a/savoryport/src/node/directory.rs
+++ b/savoryport/src/node/directory.rs
@@ -72,6 +72,8 @@
         DIRECTORY_PATH => {
             let question = decode_directory_query(req.uri().query().unwrap_or_default());
             let view = cx.fleet.view();
+            let in_flight = cx.routing.lock().loads.requests_in_flight();
+            cx.entry_subset().record_in_flight(in_flight, cx.now());
             let own_address = (!cx.stopping.is_cancelled()).then_some(cx.settings.callers_listen);
             let addresses = nearest_addresses(&view, &question, own_address, cx);
             if addresses.is_empty() {
@@ -110,8 +112,6 @@
     let members: Vec<_> = members.collect();
     let leads = |vm: &Name| view.leaders.values().any(|leader| leader.vm == *vm);
     let (now, all_nodes) = (cx.now(), view.members.len());
-    let in_flight = cx.routing.lock().loads.requests_in_flight();
-    cx.entry_subset().record_in_flight(in_flight, now);
     let addresses_in = |matches: &dyn Fn(&str) -> bool| -> Vec<SocketAddr> {
         let mut matching: Vec<&&Member> =
             members.iter().filter(|member| matches(&member.failure_domain)).collect();
--- a/savoryport/src/node/domain_controller.rs
+++ b/savoryport/src/node/domain_controller.rs
@@ -150,13 +150,11 @@
         else {
             return Availability::Unavailable;
         };
-        let ready_servers = || {
-            view.servers.values().filter(|server| {
-                &*server.service == service && server.failure_domain == *domain && server.is_ready()
-            })
-        };
-        let source = ready_servers().map(|server| weight_source(server, model)).min();
-        let source = source.unwrap_or(WeightSource::Store);
+        let ready_servers = view.servers.values().filter(|server| {
+            &*server.service == service && server.failure_domain == *domain && server.is_ready()
+        });
+        let sources = ready_servers.map(|server| weight_source(server, model));
+        let source = sources.min().unwrap_or(WeightSource::Store);
         let load = load_time(spec, source);
         if controller.is_loading(model) {
             return Availability::Loading(load.as_millis() as u64);
@@ -212,7 +210,7 @@
         self.engines.lock().expect("no thread panics while holding the lock").get(server).cloned()
     }
 
-    /// Returns whether any engine is about to load a model.
+    /// Returns whether any engine is loading a model or is about to.
     pub fn is_loading(&self, model: &str) -> bool {
         let engines = self.engines();
         engines
--- a/savoryport/src/node/leadership.rs
+++ b/savoryport/src/node/leadership.rs
@@ -73,7 +73,7 @@
 }
 
 /// Returns how long this node waits before it tries to become the leader: the shorter, the faster its
-/// processor and its link, through which all followers get their news.
+/// processor and its link, which carries the state of all followers.
 fn campaign_delay(cx: &NodeContext) -> Duration {
     let slowness = (LEADER_LINK_MBPS / cx.settings.link_mbps).clamp(1.0, MAX_LINK_SLOWNESS);
     let delay = CAMPAIGN_DELAY.div_f64(cx.settings.cpu_share.max(MIN_CPU_SHARE));
--- a/savoryport/src/node/store_reader.rs
+++ b/savoryport/src/node/store_reader.rs
@@ -19,8 +19,8 @@
 /// Prefix of the keys in the store that name the leaders, one for each failure domain.
 pub const LEADER_KEY_PREFIX: &str = "savoryport/duty/";
 
-/// How long a node without a leader waits for news of one before it reads all keys again. Within this
-/// time it does not learn of servers that leave.
+/// How long a node without a leader watches for one before it reads all keys again. Within this time
+/// it does not learn of servers that leave.
 const LEADER_WATCH: Duration = Duration::from_millis(1_500);
 
 /// The store counts as unavailable when a call has failed and it has not answered for this long. If
@@ -135,8 +135,8 @@
         match read.await {
             Ok(()) => {
                 failures = 0;
-                // A node that waits for a leader starts the next watch at once: it ends when there
-                // is one.
+                // The first listing of a node without a leader is followed by the watch at once, so
+                // that the node does not campaign while another one is elected.
                 let period = Duration::from_millis(cx.settings.store_poll_ms);
                 if cx.controllers.leads_any() || waits_for_leader {
                     tokio::time::sleep(period.saturating_sub(cx.now() - started)).await;
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -200,8 +200,8 @@
             if let Some(end) = self.forward_data(data).await {
                 return end;
             }
-            // Bytes that complete no event are no sign of life: a stalled server may still send
-            // one now and then.
+            // Bytes that complete no event do not count as progress: a stalled server may still
+            // send one now and then.
             if !self.is_resumable || self.last_event_id != last_event_id {
                 waiting_since = self.request.cx.now();
                 self.request.record_server_activity();
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -211,8 +211,8 @@
         if applies_servers {
             state.apply_servers(&reply);
             if let Some(known_before) = known_before {
-                // What this node found in the store meanwhile is only kept if the leader knows it
-                // too: the leader does not tell of servers that it has never known.
+                // Servers that this node read from the store meanwhile are kept only if the leader
+                // reports them too: it reports no removal of a server that it has never seen.
                 state.retain_servers(|id| {
                     known_before.contains(id) || reply.servers.iter().any(|server| server.id == *id)
                 });
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -379,7 +379,7 @@
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
         let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let peak_kb = peak.and_then(|peak| peak.trim().trim_end_matches(" kB").parse::<u64>().ok());
-        peak_kb.expect("the kernel tells the peak") / 1024
+        peak_kb.expect("the kernel reports the peak") / 1024
     }
 
     /// Sends a caller's request to this node.
--- a/savoryport/tests/node_strangers.rs
+++ b/savoryport/tests/node_strangers.rs
@@ -16,7 +16,7 @@
 /// The number of random messages to each listener.
 const MESSAGES: usize = 60;
 
-/// Sends bytes to an address, and returns what comes back within [`PATIENCE`].
+/// Sends bytes to an address, and returns the start of the response within [`PATIENCE`].
 fn send_bytes(address: &str, bytes: &[u8]) -> Vec<u8> {
     let mut stream = TcpStream::connect(address).expect("the listener accepts");
     stream.set_read_timeout(Some(PATIENCE)).expect("a positive timeout");
--- a/savoryport_core/src/node/entry_subset.rs
+++ b/savoryport_core/src/node/entry_subset.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: hundreds of nodes before hundreds of servers, each node with a few requests a
 //! second. If callers spread over all nodes, hardly any two requests of a node go to the same
-//! server: every request needs a new connection, and what a node knows of the load at a server is
-//! what others told it. Callers are therefore sent to a part of the nodes, which grows with the
+//! server: every request needs a new connection, and a node knows the load of a server only from the
+//! reports of other nodes. Callers are therefore sent to a part of the nodes, which grows with the
 //! requests in flight.
 
 use std::time::{Duration, Instant};
--- a/savoryport_core/src/node/orders.rs
+++ b/savoryport_core/src/node/orders.rs
@@ -128,7 +128,7 @@
     models: BTreeMap<Name, BTreeMap<Name, AdapterUse>>,
     /// The number of requests in flight, by model.
     requests: BTreeMap<Name, u32>,
-    /// When each model was last known to be in use; a model that was just found counts as used.
+    /// When each model was last known to be in use, or when it was first reported.
     used_at: BTreeMap<Name, Instant>,
 }
 
--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -34,9 +34,9 @@
 /// in turn.
 const MIN_COPY_AGE: Duration = Duration::from_secs(4);
 
-/// The least value, in servers, of a copy while the demand is not known yet. A fleet is laid out for
-/// the demand that its operator expects, so that the copies found at the start are not given up for
-/// models that nobody has asked for.
+/// The least value, in servers, of a copy while the demand is not known yet. Operators lay out a fleet
+/// for the demand that they expect, so the initial copies are not evicted for models without
+/// requests.
 const UNKNOWN_DEMAND_VALUE: f64 = 0.12;
 
 /// The value, in servers, of a copy of a model that no server holds and no request waits for.
