Move the exchange between leaders out of the follower's file

Change: exchange.rs has the leaders' part, word for word; Following::advance and delays_full_reply have the second job of apply_reply. No decision differs.

--- /dev/null
+++ b/savoryport/src/node/exchange.rs
@@ -0,0 +1,110 @@
+//! Leaders: each leader exchanges state with the leaders of the other failure domains.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use savoryport_core::Name;
+use savoryport_core::node::load::ServerLoad;
+
+use super::context::NodeContext;
+use super::peer_server::{add_loads, record_prompts};
+use super::rpc::{Role, SyncPosition, SyncRequest};
+use super::sync::fetch_config;
+use super::view::DomainLeader;
+
+/// Timeout for one call to the leader of another failure domain, which may be in another region.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Exchanges loads and changes with the leaders of other failure domains while this node leads one.
+pub async fn exchange(cx: Arc<NodeContext>) {
+    let mut positions: HashMap<Name, SyncPosition> = HashMap::new();
+    loop {
+        tokio::time::sleep(exchange_period(&cx)).await;
+        if !cx.controllers.leads_any() {
+            positions.clear();
+            continue;
+        }
+        let leaders = cx.fleet.read(|state| state.leaders().clone());
+        let others = leaders.into_iter().filter(|(domain, leader)| {
+            leader.vm != cx.settings.vm && *domain != cx.settings.failure_domain
+        });
+        let calls = others.map(|(domain, leader)| {
+            let have = positions.get(&domain).copied().unwrap_or_default();
+            let cx = cx.clone();
+            async move {
+                let position = exchange_with(&cx, &domain, &leader, have).await;
+                (domain, position)
+            }
+        });
+        for (domain, position) in futures::future::join_all(calls).await {
+            positions.insert(domain, position.unwrap_or_default());
+        }
+    }
+}
+
+/// Returns the interval between two exchanges. Their messages grow with the fleet, so that a large
+/// one exchanges them less often.
+fn exchange_period(cx: &NodeContext) -> Duration {
+    /// The share of the interval for each node.
+    const PERIOD_PER_NODE: Duration = Duration::from_micros(500);
+    let nodes = cx.fleet.view().members.len() as u32;
+    Duration::from_millis(cx.settings.exchange_period_ms).max(PERIOD_PER_NODE * nodes)
+}
+
+async fn exchange_with(
+    cx: &Arc<NodeContext>,
+    domain: &Name,
+    leader: &DomainLeader,
+    have: SyncPosition,
+) -> Option<SyncPosition> {
+    let now = cx.now();
+    let mut loads: HashMap<Name, ServerLoad> = cx.peer_reports.other_loads(None, false, now);
+    add_loads(&mut loads, cx.routing.lock().loads.own());
+    let req = SyncRequest {
+        member: cx.member.clone(),
+        role: Role::Holder,
+        is_leaving: false,
+        have: SyncPosition { config: cx.fleet.view().version(), ..have },
+        loads: loads.into_iter().collect(),
+        work_ms: Vec::new(),
+        demand: if cx.settings.is_in_own_region(domain) {
+            cx.controllers.demand(cx)
+        } else {
+            Vec::new()
+        },
+        copies: cx.copies_in_domain(domain),
+        prompts: Vec::new(),
+    };
+    let exchange = async {
+        let connection = cx.peers.get_or_connect(leader.peers).await?;
+        connection.sync(req, EXCHANGE_TIMEOUT).await
+    };
+    let reply = match tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(_)) | Err(_) => {
+            cx.peers.remove(leader.peers);
+            cx.fleet.update(|state| state.clear_residency(domain));
+            return None;
+        }
+    };
+    fetch_config(cx, leader, &Arc::default(), reply.position.config);
+    cx.peer_reports.record_domain_loads(domain, reply.loads.clone(), cx.now());
+    cx.peer_reports.add_domain_prompts(&reply.prompts);
+    record_prompts(cx, &reply.prompts, cx.now());
+    cx.fleet.update(|state| {
+        for server in reply.servers.iter().filter(|server| server.failure_domain == *domain) {
+            let residency = super::fleet::Residency {
+                incarnation: server.incarnation,
+                models: server.models.clone(),
+                is_busy: server.is_busy,
+            };
+            state.set_residency(&server.id, residency);
+        }
+        state.confirm_members(Some(domain), cx.now());
+        if let Some((members, _)) = &reply.members {
+            state.set_domain_members(domain, members.clone(), cx.now());
+        }
+    });
+    Some(reply.position)
+}
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -15,6 +15,7 @@
 mod domain_controller;
 mod engine;
 pub mod event_splitter;
+mod exchange;
 pub mod fleet;
 mod in_flight;
 mod leadership;
@@ -121,7 +122,7 @@
     let (read_store_tx, read_store_rx) = watch::channel(true);
     tokio::spawn(store_reader::run(cx.clone(), read_store_rx));
     tokio::spawn(sync::follow(cx.clone(), read_store_tx));
-    tokio::spawn(sync::exchange(cx.clone()));
+    tokio::spawn(exchange::exchange(cx.clone()));
     tokio::spawn(directory::accept(cx.clone(), directory));
     tokio::spawn(directory::accept(cx.clone(), readiness));
     tokio::spawn(callers::accept(cx.clone(), callers));
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -1,18 +1,16 @@
-//! The client side of the calls between nodes: a follower exchanges state with the leader of its
-//! failure domain, and leaders exchange state with each other.
+//! Followers: each node exchanges state with the leader of its failure domain.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use savoryport_core::Name;
-use savoryport_core::node::load::ServerLoad;
 use tokio::sync::watch;
 
 use super::context::NodeContext;
-use super::peer_server::{add_loads, record_prompts};
+use super::peer_server::record_prompts;
 use super::rpc::{NO_SERVERS_WANTED, PeerError, Role, SyncPosition, SyncReply, SyncRequest};
 use super::store_reader::accept_config;
 use super::view::{AcceptedConfig, DomainLeader};
@@ -27,9 +25,6 @@
 /// The number of followers that may ask for all servers at the same time.
 const MAX_FULL_REPLIES_AT_ONCE: u32 = 12;
 
-/// Timeout for one call to the leader of another failure domain, which may be in another region.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Timeout for fetching a configuration.
 const CONFIG_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -79,6 +74,24 @@
         let known = || cx.fleet.read(|state| state.registry.servers().keys().cloned().collect());
         self.known_before.get_or_insert_with(known);
     }
+
+    /// Advances to the position of a reply, of which the servers may not have been applied.
+    fn advance(&mut self, cx: &NodeContext, position: SyncPosition, applied_servers: bool) {
+        let former = std::mem::replace(&mut self.have, position);
+        if applied_servers {
+            self.has_servers = true;
+            return;
+        }
+        // The servers since the last reply that was applied are still to come.
+        self.have.servers = former.servers;
+        self.has_servers &= former.tenure == position.tenure;
+        self.full_reply_after.get_or_insert_with(|| cx.now() + full_reply_delay(cx));
+    }
+
+    /// Returns whether the node still waits before it asks for all servers.
+    fn delays_full_reply(&self, now: Instant) -> bool {
+        !self.has_servers && self.full_reply_after.is_some_and(|at| now < at)
+    }
 }
 
 /// Follows the leader of this node's failure domain. `read_store` tells the store reader whether
@@ -228,19 +241,10 @@
             }
         }
     });
-    let former = std::mem::replace(&mut following.have, reply.position);
-    if applies_servers {
-        following.has_servers = true;
-    } else {
-        // The servers since the last reply that was applied are still to come.
-        following.have.servers = former.servers;
-        following.has_servers &= former.tenure == reply.position.tenure;
-        following.full_reply_after.get_or_insert_with(|| now + full_reply_delay(cx));
-    }
+    following.advance(cx, reply.position, applies_servers);
     let nodes = cx.fleet.view().members.len();
     cx.routing.lock().retry_budget.set_nodes(nodes);
-    let waits = !following.has_servers && following.full_reply_after.is_some_and(|at| now < at);
-    let must_read_store = !reply.is_holder || waits;
+    let must_read_store = !reply.is_holder || following.delays_full_reply(now);
     if must_read_store {
         following.start_reading(cx);
     }
@@ -274,45 +278,9 @@
     routing.retry_budget.set_nodes(nodes);
 }
 
-/// Exchanges loads and changes with the leaders of other failure domains while this node leads one.
-pub async fn exchange(cx: Arc<NodeContext>) {
-    let mut positions: HashMap<Name, SyncPosition> = HashMap::new();
-    loop {
-        tokio::time::sleep(exchange_period(&cx)).await;
-        if !cx.controllers.leads_any() {
-            positions.clear();
-            continue;
-        }
-        let leaders = cx.fleet.read(|state| state.leaders().clone());
-        let others = leaders.into_iter().filter(|(domain, leader)| {
-            leader.vm != cx.settings.vm && *domain != cx.settings.failure_domain
-        });
-        let calls = others.map(|(domain, leader)| {
-            let have = positions.get(&domain).copied().unwrap_or_default();
-            let cx = cx.clone();
-            async move {
-                let position = exchange_with(&cx, &domain, &leader, have).await;
-                (domain, position)
-            }
-        });
-        for (domain, position) in futures::future::join_all(calls).await {
-            positions.insert(domain, position.unwrap_or_default());
-        }
-    }
-}
-
-/// Returns the interval between two exchanges. Their messages grow with the fleet, so that a large
-/// one exchanges them less often.
-fn exchange_period(cx: &NodeContext) -> Duration {
-    /// The share of the interval for each node.
-    const PERIOD_PER_NODE: Duration = Duration::from_micros(500);
-    let nodes = cx.fleet.view().members.len() as u32;
-    Duration::from_millis(cx.settings.exchange_period_ms).max(PERIOD_PER_NODE * nodes)
-}
-
 /// Fetches a newer configuration from another node in a task of its own: a configuration with many
 /// routes takes longer than the exchange of other state may be delayed.
-fn fetch_config(
+pub(super) fn fetch_config(
     cx: &Arc<NodeContext>,
     leader: &DomainLeader,
     fetching: &Arc<AtomicBool>,
@@ -339,60 +307,3 @@
     cx.fleet.update(|state| accept_config(state, &raw, "node"));
     Ok(())
 }
-
-async fn exchange_with(
-    cx: &Arc<NodeContext>,
-    domain: &Name,
-    leader: &DomainLeader,
-    have: SyncPosition,
-) -> Option<SyncPosition> {
-    let now = cx.now();
-    let mut loads: HashMap<Name, ServerLoad> = cx.peer_reports.other_loads(None, false, now);
-    add_loads(&mut loads, cx.routing.lock().loads.own());
-    let req = SyncRequest {
-        member: cx.member.clone(),
-        role: Role::Holder,
-        is_leaving: false,
-        have: SyncPosition { config: cx.fleet.view().version(), ..have },
-        loads: loads.into_iter().collect(),
-        work_ms: Vec::new(),
-        demand: if cx.settings.is_in_own_region(domain) {
-            cx.controllers.demand(cx)
-        } else {
-            Vec::new()
-        },
-        copies: cx.copies_in_domain(domain),
-        prompts: Vec::new(),
-    };
-    let exchange = async {
-        let connection = cx.peers.get_or_connect(leader.peers).await?;
-        connection.sync(req, EXCHANGE_TIMEOUT).await
-    };
-    let reply = match tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await {
-        Ok(Ok(reply)) => reply,
-        Ok(Err(_)) | Err(_) => {
-            cx.peers.remove(leader.peers);
-            cx.fleet.update(|state| state.clear_residency(domain));
-            return None;
-        }
-    };
-    fetch_config(cx, leader, &Arc::default(), reply.position.config);
-    cx.peer_reports.record_domain_loads(domain, reply.loads.clone(), cx.now());
-    cx.peer_reports.add_domain_prompts(&reply.prompts);
-    record_prompts(cx, &reply.prompts, cx.now());
-    cx.fleet.update(|state| {
-        for server in reply.servers.iter().filter(|server| server.failure_domain == *domain) {
-            let residency = super::fleet::Residency {
-                incarnation: server.incarnation,
-                models: server.models.clone(),
-                is_busy: server.is_busy,
-            };
-            state.set_residency(&server.id, residency);
-        }
-        state.confirm_members(Some(domain), cx.now());
-        if let Some((members, _)) = &reply.members {
-            state.set_domain_members(domain, members.clone(), cx.now());
-        }
-    });
-    Some(reply.position)
-}
