Log streams that a server ends inside an event

The nodes' logs only say "streamed" for these requests, which fits three hypotheses: a body without a length that is closed inside an event, one that is closed between two events, and a reset that is read as the end of the body.

A log line and the counter cut_events now tell the first from the others, and the line names what marked the end of the body. No logic changes.

--- a/savoryport/src/node/metrics.rs
+++ b/savoryport/src/node/metrics.rs
@@ -57,6 +57,8 @@
     pub not_run: Counter,
     /// Streams that were resumed at another server.
     pub resumed_streams: Counter,
+    /// Streams whose server ended them inside an event.
+    pub cut_events: Counter,
     /// Orders sent to engines.
     pub orders: Family<OrderLabels, Counter>,
     /// Moves of models that the planner decided on.
@@ -81,6 +83,7 @@
             refusals: Family::default(),
             not_run: Counter::default(),
             resumed_streams: Counter::default(),
+            cut_events: Counter::default(),
             orders: Family::default(),
             model_moves: Counter::default(),
             engine_reports: Counter::default(),
@@ -132,6 +135,11 @@
             "Streams resumed elsewhere",
             self.resumed_streams.clone(),
         );
+        registry.register(
+            "cut_events",
+            "Streams whose server ended them inside an event",
+            self.cut_events.clone(),
+        );
         registry.register("orders", "Orders to engines", self.orders.clone());
         registry.register("model_moves", "Moves of models decided", self.model_moves.clone());
         registry.register(
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use savoryport_adapter::servers::{keep_alive_timeout, strip_connection_headers};
 use savoryport_core::node::deployment::RequestKind;
 use savoryport_core::node::health::ServerOutcome;
@@ -191,7 +191,10 @@
             let data = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(Some(Err(_))) => return StreamEnd::Interrupted,
-                Ok(None) => return self.finish_events().await,
+                Ok(None) => {
+                    self.log_partial_event(opened);
+                    return self.finish_events().await;
+                }
                 Err(_) if self.request.remaining_time().is_zero() => return StreamEnd::TimedOut,
                 Err(_) => return StreamEnd::Interrupted,
             };
@@ -272,6 +275,26 @@
         if ready.is_empty() { None } else { self.send_to_caller(ready.freeze()).await }
     }
 
+    /// Logs that the server's body ended inside an event, and what marked the end of the body.
+    fn log_partial_event(&self, opened: &OpenedResponse) {
+        if !self.splitter.has_partial_event() {
+            return;
+        }
+        let framing = if opened.headers.contains_key(TRANSFER_ENCODING) {
+            "chunked"
+        } else if opened.headers.contains_key(CONTENT_LENGTH) {
+            "length"
+        } else {
+            "close"
+        };
+        self.request.cx.metrics.cut_events.inc();
+        log::info!(
+            request = &*self.request.head.id, server = opened.in_flight.server(),
+            framing = framing, after = self.last_event_id.unwrap_or(0);
+            "stream ended inside an event"
+        );
+    }
+
     /// Forwards the buffered bytes of an incomplete event after the server ended its stream.
     async fn finish_events(&mut self) -> StreamEnd {
         if !self.splitter.has_partial_event() {
