Show that a stream that its server breaks off reaches callers as complete

The likely cause is that the node takes the end of the connection for the end of a stream that has neither a length nor chunks, wherever it ends.

Two tests reproduce it with an engine that closes its connections without a reset: inside an event, where the stream reaches the caller as complete instead of being resumed, and before the first event, where the caller gets an empty stream with status 200. The other stand-ins cannot end a connection, so the engine is a small one over plain sockets.

--- a/savoryport/tests/node_bad_servers.rs
+++ b/savoryport/tests/node_bad_servers.rs
@@ -6,6 +6,7 @@
 
 use node_site::{NodeSite, RequestKind, expected_stream};
 use savoryport_standin::backend::BackendFault;
+use savoryport_standin::raw_engine::RawEngineFault;
 
 /// The number of requests that meet a server in trouble at once.
 const REQUESTS_AT_ONCE: usize = 36;
@@ -126,3 +127,36 @@
     let stream = site.send(0, "paused", RequestKind::Stream("m3"));
     assert_eq!((stream.status, stream.body), (200, Some(expected_stream("paused"))));
 }
+
+#[test]
+fn a_stream_that_ends_inside_an_event_is_not_delivered_as_complete() {
+    let mut site = NodeSite::start(1);
+    site.models.extend([("cut", 0.4), ("cut-all", 0.4)]);
+    site.write_config();
+    let cut = RawEngineFault::EndsInsideEvent { event: 4 };
+    let engines = [
+        site.start_raw_engine("cut-a", "cut", cut.clone()),
+        site.start_raw_engine("sound-b", "cut", RawEngineFault::None),
+        site.start_raw_engine("cut-c", "cut-all", cut),
+    ];
+    site.wait_for_servers(&["cut-a", "sound-b", "cut-c"]);
+    let resumed = site.send(0, "resumed", RequestKind::Stream("cut"));
+    assert_eq!((resumed.status, resumed.body), (200, Some(expected_stream("resumed"))));
+    assert_eq!(engines[0].runs_of("resumed"), 1, "the stream starts at the server that cuts it");
+    for kind in [RequestKind::Stream("cut-all"), RequestKind::UnresumableStream("cut-all")] {
+        let response = site.send(0, "broken", kind);
+        assert_eq!((response.status, response.body), (200, None), "{kind:?}");
+    }
+}
+
+#[test]
+fn a_stream_that_ends_before_its_first_event_is_not_delivered_as_complete() {
+    let mut site = NodeSite::start(1);
+    site.models.push(("empty", 0.4));
+    site.write_config();
+    let _engine = site.start_raw_engine("empty-a", "empty", RawEngineFault::EndsBeforeFirstEvent);
+    site.wait_for_servers(&["empty-a"]);
+    for kind in [RequestKind::Stream("empty"), RequestKind::UnresumableStream("empty")] {
+        assert_eq!(site.send(0, "empty", kind).status, 502, "{kind:?}");
+    }
+}
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -16,6 +16,7 @@
 use savoryport_standin::fleet::free_address;
 use savoryport_standin::metadata::MetadataStandin;
 use savoryport_standin::proxy::Proxy;
+use savoryport_standin::raw_engine::{RawEngine, RawEngineConfig, RawEngineFault};
 use serde_json::{Value, json};
 use tempfile::TempDir;
 use ureq::Agent;
@@ -82,6 +83,8 @@
     Idempotent,
     /// A stream that may be resumed at another server, for a model or `model/adapter`.
     Stream(&'static str),
+    /// A stream that must not be sent to a second server once it may have run.
+    UnresumableStream(&'static str),
 }
 
 impl NodeSite {
@@ -131,7 +134,8 @@
                 "name": name, "host": "site.example", "pathPrefix": path, "kind": kind,
                 "timeoutMs": timeout_ms, "targetLatencyMs": 500, "priority": 0, "service": service,
                 "maxAttempts": if kind == "non_idempotent" { 1 } else { 2 },
-                "resumable": kind == "streaming", "sessionAffinity": kind == "streaming",
+                "resumable": kind == "streaming" && name != "draft-once",
+                "sessionAffinity": kind == "streaming",
             })
         };
         let model = |(name, load_s): &(&str, f64)| {
@@ -147,6 +151,7 @@
                 route("commit", "/commit/", "non_idempotent", "orders"),
                 route("lookup", "/lookup/", "idempotent", "orders"),
                 route("draft", "/draft/", "streaming", "drafts"),
+                route("draft-once", "/draft-once/", "streaming", "drafts"),
                 route("newest", &format!("/v{}/", self.config_version), "idempotent", "orders"),
             ],
             "services": [
@@ -194,6 +199,30 @@
         self.servers.push(BackendStandin::start("127.0.0.1:0", config, &self.store, incarnation));
     }
 
+    /// Starts an engine whose streams have neither a length nor chunks and end with their
+    /// connection.
+    pub fn start_raw_engine(&mut self, id: &str, model: &str, fault: RawEngineFault) -> RawEngine {
+        let cfg = RawEngineConfig {
+            id: id.to_owned(),
+            service: "drafts".to_owned(),
+            failure_domain: "east-a".to_owned(),
+            models: vec![model.to_owned()],
+            events_per_stream: 8,
+            event_interval: Duration::from_millis(10),
+            fault,
+        };
+        self.starts += 1;
+        RawEngine::start(cfg, &self.store, 1_000 + self.starts)
+    }
+
+    /// Waits until the first node knows these servers.
+    pub fn wait_for_servers(&self, ids: &[&str]) {
+        self.wait_until("the servers are known", |site| {
+            let status = site.nodes[0].status();
+            ids.iter().all(|id| status.contains(id))
+        });
+    }
+
     /// Replaces the engines by new ones with the same ids, which hold no models.
     pub fn restart_engines(&mut self) {
         let is_engine = |server: &BackendStandin| server.id().starts_with("engine-");
@@ -414,8 +443,11 @@
             .header("X-Attempt-Id", id)
             .header("X-Deadline-Ms", "4000")
             .send("pay"),
-        RequestKind::Stream(model) => agent
-            .post(url("draft"))
+        RequestKind::Stream(model) | RequestKind::UnresumableStream(model) => agent
+            .post(url(match kind {
+                RequestKind::UnresumableStream(_) => "draft-once",
+                _ => "draft",
+            }))
             .header("Host", "site.example")
             .header("X-Attempt-Id", id)
             .header("X-Deadline-Ms", "8000")
--- a/savoryport_standin/src/lib.rs
+++ b/savoryport_standin/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod kv;
 pub mod metadata;
 pub mod proxy;
+pub mod raw_engine;
 pub mod service;
 pub mod vm_list;
 pub mod weights;
--- /dev/null
+++ b/savoryport_standin/src/raw_engine.rs
@@ -0,0 +1,230 @@
+//! A stand-in for a model engine that controls its connections itself: its streams end with their
+//! connection, and it can break one off without a reset.
+//!
+//! The HTTP library of the other stand-ins keeps connections open and frames every response.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::metadata::MetadataStandin;
+
+/// The pause between two attempts to accept a connection.
+const ACCEPT_POLL: Duration = Duration::from_millis(2);
+
+/// The configuration of an engine.
+#[derive(Debug, Clone)]
+pub struct RawEngineConfig {
+    /// The id in the registry.
+    pub id: String,
+    /// The service that the engine belongs to.
+    pub service: String,
+    /// The failure domain of the engine.
+    pub failure_domain: String,
+    /// The models that it holds.
+    pub models: Vec<String>,
+    /// The number of events in each stream.
+    pub events_per_stream: u64,
+    /// The time before each event of a stream.
+    pub event_interval: Duration,
+    /// The fault that it simulates.
+    pub fault: RawEngineFault,
+}
+
+/// The fault that an engine simulates.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RawEngineFault {
+    /// No fault.
+    None,
+    /// Closes the connection of each stream inside an event, without a reset.
+    EndsInsideEvent {
+        /// The number of the event, counted from 1.
+        event: u64,
+    },
+    /// Closes the connection of each stream before its first event, without a reset.
+    EndsBeforeFirstEvent,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    runs_by_request: HashMap<String, u32>,
+    accepted_orders: u64,
+}
+
+/// A running engine.
+pub struct RawEngine {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    cfg: RawEngineConfig,
+    address: String,
+    incarnation: u64,
+    state: Mutex<State>,
+}
+
+/// The head of a request, with lowercase header names.
+struct RequestHead {
+    method: String,
+    path: String,
+    headers: HashMap<String, String>,
+}
+
+impl RawEngine {
+    /// Listens on a free local port and registers the engine in the metadata store.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it cannot listen.
+    pub fn start(cfg: RawEngineConfig, store: &MetadataStandin, incarnation: u64) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free local port");
+        listener.set_nonblocking(true).expect("a socket option");
+        let address = listener.local_addr().expect("a bound socket").to_string();
+        let shared = Arc::new(Shared { cfg, address, incarnation, state: Mutex::default() });
+        let engine = Self { shared: shared.clone() };
+        engine.register(store);
+        // Ends with the last handle of the engine.
+        let weak = Arc::downgrade(&shared);
+        drop(shared);
+        thread::spawn(move || {
+            while let Some(shared) = weak.upgrade() {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        thread::spawn(move || shared.serve_connection(stream));
+                    }
+                    Err(err) if err.kind() == ErrorKind::WouldBlock => {
+                        drop(shared);
+                        thread::sleep(ACCEPT_POLL);
+                    }
+                    Err(_) => return,
+                }
+            }
+        });
+        engine
+    }
+
+    /// Returns how often the request with this id ran.
+    pub fn runs_of(&self, request: &str) -> u32 {
+        self.shared.lock().runs_by_request.get(request).copied().unwrap_or(0)
+    }
+
+    /// Writes the engine's registry entry.
+    fn register(&self, store: &MetadataStandin) {
+        let Shared { cfg, address, incarnation, .. } = &*self.shared;
+        let entry = json!({
+            "service": cfg.service, "address": address, "zone": cfg.failure_domain, "slots": 64,
+            "state": "ready", "born": incarnation, "models": models_json(&cfg.models),
+            "sequence": 1,
+        });
+        store.write(&format!("servers/{}", cfg.id), &entry);
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics while holding the lock")
+    }
+
+    fn serve_connection(&self, mut stream: TcpStream) {
+        let _ = stream.set_nonblocking(false);
+        let _ = stream.set_nodelay(true);
+        let Ok(reader) = stream.try_clone() else { return };
+        let mut reader = BufReader::new(reader);
+        while let Some(head) = read_request(&mut reader) {
+            let keeps_open = match (&*head.method, &*head.path) {
+                ("GET", "/savoryport/report") => self.send_report(&mut stream),
+                ("POST", "/savoryport/order") => {
+                    self.lock().accepted_orders += 1;
+                    send_json(&mut stream, 202, "{}")
+                }
+                _ => self.run_request(&head, &mut stream),
+            };
+            if !keeps_open {
+                break;
+            }
+        }
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+
+    fn send_report(&self, stream: &mut TcpStream) -> bool {
+        let report = json!({
+            "born": self.incarnation, "stage": "both", "models": models_json(&self.cfg.models),
+            "busy": false, "sequence": self.lock().accepted_orders, "pending": [],
+        });
+        send_json(stream, 200, &report.to_string())
+    }
+
+    /// Runs a request; returns whether the connection stays open.
+    fn run_request(&self, head: &RequestHead, stream: &mut TcpStream) -> bool {
+        let header = |name: &str| head.headers.get(name).map_or("", String::as_str);
+        let id = header("x-attempt-id");
+        if header("x-expect-instance") != self.cfg.id {
+            return send(
+                stream,
+                "HTTP/1.1 421 x\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n",
+            );
+        }
+        *self.lock().runs_by_request.entry(id.to_owned()).or_default() += 1;
+        let response_head = format!(
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nX-Attempt-Id: {id}\r\n\
+             X-Server-Stamp: stamp.{}\r\n\r\n",
+            self.cfg.id
+        );
+        if !send(stream, &response_head) || self.cfg.fault == RawEngineFault::EndsBeforeFirstEvent {
+            return false;
+        }
+        let first = header("last-event-id").parse::<u64>().unwrap_or(0) + 1;
+        for number in first..=self.cfg.events_per_stream {
+            thread::sleep(self.cfg.event_interval);
+            let event = format!("id: {number}\ndata: event {number} of {id}\n\n");
+            if self.cfg.fault == (RawEngineFault::EndsInsideEvent { event: number }) {
+                send(stream, &event[..event.len() / 2]);
+                return false;
+            }
+            if !send(stream, &event) {
+                return false;
+            }
+        }
+        false
+    }
+}
+
+/// Reads a request and skips its body; returns `None` if the client has closed the connection.
+fn read_request(reader: &mut BufReader<TcpStream>) -> Option<RequestHead> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok()?;
+    let mut words = line.split_whitespace();
+    let (method, path) = (words.next()?.to_owned(), words.next()?.to_owned());
+    let mut headers = HashMap::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+    let length = headers.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+    std::io::copy(&mut reader.by_ref().take(length), &mut std::io::sink()).ok()?;
+    Some(RequestHead { method, path, headers })
+}
+
+fn models_json(models: &[String]) -> Vec<serde_json::Value> {
+    models.iter().map(|name| json!({ "name": name, "version": 1, "adapters": [] })).collect()
+}
+
+fn send_json(stream: &mut TcpStream, status: u16, body: &str) -> bool {
+    let length = body.len();
+    let head = format!(
+        "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\r\n"
+    );
+    send(stream, &format!("{head}{body}"))
+}
+
+/// Sends text; returns whether that succeeded.
+fn send(stream: &mut TcpStream, text: &str) -> bool {
+    stream.write_all(text.as_bytes()).is_ok()
+}
