Take a stream that ends inside an event for broken off

Cause: the node forwarded the rest of an unfinished event when the body ended, and reported the stream as complete. That is right for a body with chunks or a length, where the HTTP library reports a body that is cut. A body without either ends with its connection, so a server that closes the connection inside an event looks like one that has finished. Streams that cannot be resumed were not searched for the ends of events at all, and a stream that was closed before its first event was delivered as an empty one.

A body that ends inside an event now counts as an interrupted stream, whatever marks its end: it is resumed at another server after the last complete event, or the caller's response ends without the end of its body. A first response without any event is a broken connection. The bytes of the unfinished event are no longer forwarded if the stream can be resumed.

A body that is closed between two events cannot be told from a complete one; the protocol calls only the end inside an event and the reset broken off.

--- a/savoryport/src/node/event_splitter.rs
+++ b/savoryport/src/node/event_splitter.rs
@@ -5,6 +5,7 @@
 //! parser of server-sent events is used.
 
 use bytes::{Bytes, BytesMut};
+use smallvec::SmallVec;
 
 /// The maximum size of an event that is buffered until it is complete, in bytes. Bytes that are no
 /// event may come without end, and to many requests at once.
@@ -18,6 +19,13 @@
     searched: usize,
 }
 
+/// Tracks whether a stream of events that is not split ends between two events.
+#[derive(Debug, Default)]
+pub struct EventBoundary {
+    /// The last bytes, as many as the longest blank line after a line has.
+    tail: SmallVec<[u8; 3]>,
+}
+
 /// A complete server-sent event.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SseEvent {
@@ -47,12 +55,6 @@
         !self.buffer.is_empty()
     }
 
-    /// Removes and returns the bytes of an incomplete event.
-    pub fn take_partial_event(&mut self) -> Bytes {
-        self.searched = 0;
-        self.buffer.split().freeze()
-    }
-
     /// Returns the position after the next blank line; lines end with LF or CRLF.
     fn find_end(&mut self) -> Option<usize> {
         let bytes = &self.buffer;
@@ -70,6 +72,22 @@
     }
 }
 
+impl EventBoundary {
+    /// Appends bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        let last = &bytes[bytes.len().saturating_sub(3)..];
+        self.tail.extend_from_slice(last);
+        let surplus = self.tail.len().saturating_sub(3);
+        self.tail.drain(..surplus);
+    }
+
+    /// Returns whether the bytes so far end with a complete event, or are none.
+    pub fn is_between_events(&self) -> bool {
+        let tail = &self.tail[..];
+        tail.is_empty() || tail.ends_with(b"\n\n") || tail.ends_with(b"\n\r\n")
+    }
+}
+
 fn event_id(bytes: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(bytes).ok()?;
     text.lines().find_map(|line| line.strip_prefix("id:")?.trim().parse().ok())
--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -287,7 +287,9 @@
         let req = self.build_request(selected, resume_after);
         let send = async {
             let mut response = connection.send(req).await?;
-            let first_frame = read_first_frame(&self.route, &mut response).await;
+            // A stream that goes on after an event may have no further one.
+            let may_be_empty = self.head.last_event_id.or(resume_after).is_some();
+            let first_frame = read_first_frame(&self.route, &mut response, may_be_empty).await;
             Ok::<_, SendError>((response, first_frame))
         };
         match self.await_response_start(selected, sent_at, send).await {
@@ -449,13 +451,18 @@
 
 /// Waits for the first bytes of a stream. The headers are not forwarded before them, since until
 /// then the request can still be sent to another server if the stream breaks.
-async fn read_first_frame(route: &Route, response: &mut Response<Incoming>) -> FirstFrame {
+async fn read_first_frame(
+    route: &Route,
+    response: &mut Response<Incoming>,
+    may_be_empty: bool,
+) -> FirstFrame {
     if !route.kind.is_stream() || !response.status().is_success() {
         return FirstFrame::NoData;
     }
     match response.body_mut().frame().await {
         Some(Ok(frame)) => frame.into_data().map_or(FirstFrame::NoData, FirstFrame::Data),
         Some(Err(_)) => FirstFrame::Broken,
-        None => FirstFrame::NoData,
+        None if may_be_empty => FirstFrame::NoData,
+        None => FirstFrame::Broken,
     }
 }
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -12,7 +12,7 @@
 use savoryport_core::node::health::ServerOutcome;
 use tokio::sync::mpsc;
 
-use super::event_splitter::EventSplitter;
+use super::event_splitter::{EventBoundary, EventSplitter};
 use super::proxy::{OpenedResponse, ProxyRequest};
 use super::response::{Body, IncompleteResponse};
 use super::server_selection::SelectedServer;
@@ -43,6 +43,9 @@
     request: ProxyRequest,
     chunks: mpsc::Sender<Result<Frame<Bytes>, IncompleteResponse>>,
     splitter: EventSplitter,
+    /// Where the last event of a stream ends that is forwarded as it arrives, since it cannot be
+    /// resumed.
+    boundary: EventBoundary,
     is_resumable: bool,
     /// The id of the last event that was forwarded.
     last_event_id: Option<u64>,
@@ -66,6 +69,7 @@
         is_resumable: request.route.kind == RequestKind::Stream { resumable: true },
         last_event_id: request.head.last_event_id,
         splitter: EventSplitter::default(),
+        boundary: EventBoundary::default(),
         chunks,
         request,
     };
@@ -191,10 +195,11 @@
             let data = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(Some(Err(_))) => return StreamEnd::Interrupted,
-                Ok(None) => {
+                Ok(None) if self.is_inside_event() => {
                     self.log_partial_event(opened);
-                    return self.finish_events().await;
+                    return StreamEnd::Interrupted;
                 }
+                Ok(None) => return StreamEnd::Completed,
                 Err(_) if self.request.remaining_time().is_zero() => return StreamEnd::TimedOut,
                 Err(_) => return StreamEnd::Interrupted,
             };
@@ -257,6 +262,7 @@
     /// already forwarded.
     async fn forward_data(&mut self, data: Bytes) -> Option<StreamEnd> {
         if !self.is_resumable {
+            self.boundary.push(&data);
             return self.send_to_caller(data).await;
         }
         if !self.splitter.push(&data) {
@@ -277,9 +283,6 @@
 
     /// Logs that the server's body ended inside an event, and what marked the end of the body.
     fn log_partial_event(&self, opened: &OpenedResponse) {
-        if !self.splitter.has_partial_event() {
-            return;
-        }
         let framing = if opened.headers.contains_key(TRANSFER_ENCODING) {
             "chunked"
         } else if opened.headers.contains_key(CONTENT_LENGTH) {
@@ -295,13 +298,10 @@
         );
     }
 
-    /// Forwards the buffered bytes of an incomplete event after the server ended its stream.
-    async fn finish_events(&mut self) -> StreamEnd {
-        if !self.splitter.has_partial_event() {
-            return StreamEnd::Completed;
-        }
-        let rest = self.splitter.take_partial_event();
-        self.send_to_caller(rest).await.unwrap_or(StreamEnd::Completed)
+    /// Returns whether the bytes received so far end inside an event. The server has then broken
+    /// off the stream, even if the end of the connection is the end of the body.
+    fn is_inside_event(&self) -> bool {
+        self.splitter.has_partial_event() || !self.boundary.is_between_events()
     }
 
     async fn send_to_caller(&mut self, data: Bytes) -> Option<StreamEnd> {
--- a/savoryport/tests/node_parts.rs
+++ b/savoryport/tests/node_parts.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
-use savoryport::node::event_splitter::EventSplitter;
+use savoryport::node::event_splitter::{EventBoundary, EventSplitter};
 use savoryport::node::fleet::Fleet;
 use savoryport::node::prompt_log::PromptLog;
 use savoryport::node::rpc::PromptRecord;
@@ -32,8 +32,30 @@
         assert_eq!(ids, [Some(1), Some(2), None], "chunks of {size} bytes");
         assert!(splitter.has_partial_event());
         let mut bytes: Vec<u8> = events.iter().flat_map(|event| event.bytes.to_vec()).collect();
-        bytes.extend(splitter.take_partial_event());
-        assert_eq!(bytes, stream.as_bytes());
+        assert!(splitter.push(b"ta: d\n\n"));
+        let last = splitter.next_event().expect("the event is complete now");
+        bytes.extend(last.bytes);
+        assert!(!splitter.has_partial_event());
+        assert_eq!(bytes, format!("{stream}ta: d\n\n").as_bytes());
+    }
+}
+
+#[test]
+fn boundaries_of_events_are_found_however_their_bytes_arrive() {
+    let stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n\n\ndata: c";
+    let length = stream.len();
+    // The last line has 7 bytes, and each further line feed after a blank line is one more.
+    let ends_of_events = [14, length - 9, length - 8, length - 7];
+    for size in 1..stream.len() {
+        let mut boundary = EventBoundary::default();
+        assert!(boundary.is_between_events());
+        let mut received = 0;
+        for chunk in stream.as_bytes().chunks(size) {
+            boundary.push(chunk);
+            received += chunk.len();
+            let is_end = ends_of_events.contains(&received);
+            assert_eq!(boundary.is_between_events(), is_end, "{received} bytes by {size}");
+        }
     }
 }
 
