--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -293,7 +293,13 @@
             Ok::<_, SendError>((response, first_frame))
         };
         match self.await_response_start(selected, sent_at, send).await {
-            Some(Ok((_, FirstFrame::Broken))) => self.on_broken_connection(&server.id),
+            Some(Ok((_, FirstFrame::Broken))) => {
+                log::info!(
+                    request = &*self.head.id, server = &*server.id;
+                    "server failed before the first event"
+                );
+                self.on_broken_connection(&server.id)
+            }
             Some(Ok((response, first_frame))) => {
                 let (parts, body) = response.into_parts();
                 let kind = classify_response(parts.status, &parts.headers, &self.head.id);
