Show that requests of one kind crash server after server

Three causes are plausible and none excludes another: a node sees an eighth of the crashes and nothing links a crash to a prompt; each such request is sent to a second server; and the requests that were in flight beside it use up the retry budget.

The engine over plain sockets now crashes on a part, with all connections, and starts again. A second test passes: crashes for other reasons, one at a time and all at once, do not stop the first part that all prompts share.

--- /dev/null
+++ b/savoryport/tests/node_deadly_prompts.rs
@@ -0,0 +1,124 @@
+//! Prompts of which a part crashes every server that begins to answer them, tested with real node
+//! processes.
+
+mod node_site;
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use node_site::{CallerResponse, NodeSite, expected_stream};
+use savoryport_standin::raw_engine::{RawEngine, RawEngineFault};
+
+/// The part that crashes servers.
+const DEADLY_PART: &str = "dead0001";
+
+/// The part that all prompts of the route begin with.
+const FIRST_PART: &str = "5c1e07a2:60";
+
+/// The users' bound on the time after the fifth crash in which all nodes learn of the part.
+const LEARN_TIME: Duration = Duration::from_secs(4);
+
+/// The users' bound on the requests with the part that reach servers later.
+const MAX_LATER_ARRIVALS: usize = 3;
+
+/// Starts nodes, and engines that hold one more model and crash on the deadly part.
+fn start(nodes: usize, engines: usize) -> (NodeSite, Vec<RawEngine>) {
+    let mut site = NodeSite::start(nodes);
+    site.models.push(("fragile", 0.4));
+    site.write_config();
+    let ids: Vec<String> = (0..engines).map(|number| format!("fragile-{number}")).collect();
+    let fault = RawEngineFault::CrashesOnPart { part: DEADLY_PART.to_owned() };
+    let engines =
+        ids.iter().map(|id| site.start_raw_engine(id, "fragile", fault.clone())).collect();
+    site.wait_for_servers(&ids.iter().map(String::as_str).collect::<Vec<_>>());
+    (site, engines)
+}
+
+/// Sends a prompt with a part of its own after these parts.
+fn send(site: &NodeSite, node: usize, id: &str, parts: &str) -> CallerResponse {
+    let own = format!("{:x}", 0xabc_0000 + id.bytes().map(u64::from).sum::<u64>());
+    site.send_prompt(node, id, "fragile", &format!("{FIRST_PART},{parts}{own}:40"))
+}
+
+/// Sends deadly prompts to the nodes in turn for a while; returns the responses.
+fn send_deadly(site: &NodeSite, period: Duration, count: usize) -> Vec<CallerResponse> {
+    let responses = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for number in 0..count {
+            let (responses, node) = (&responses, number % site.nodes.len());
+            scope.spawn(move || {
+                let id = format!("deadly-{number}");
+                let response = send(site, node, &id, &format!("{DEADLY_PART}:10,"));
+                responses.lock().expect("no thread panics").push(response);
+            });
+            std::thread::sleep(period);
+        }
+    });
+    responses.into_inner().expect("no thread panics")
+}
+
+/// Returns how many deadly requests reached servers after the nodes had time to learn of the part.
+fn later_arrivals(engines: &[RawEngine]) -> usize {
+    let mut crashes: Vec<Instant> = engines.iter().flat_map(RawEngine::crashes).collect();
+    crashes.sort();
+    let Some(fifth) = crashes.get(4) else { return 0 };
+    let arrivals = engines.iter().flat_map(RawEngine::deadly_arrivals);
+    arrivals.filter(|at| *at > *fifth + LEARN_TIME).count()
+}
+
+#[test]
+fn requests_of_one_kind_do_not_crash_server_after_server() {
+    let (site, engines) = start(3, 6);
+    for number in 0..6 {
+        assert_eq!(send(&site, number % 3, &format!("before-{number}"), "").status, 200);
+    }
+    let sound = Mutex::new(Vec::new());
+    let deadly = std::thread::scope(|scope| {
+        let deadly = scope.spawn(|| send_deadly(&site, Duration::from_millis(250), 40));
+        for number in 0..50 {
+            let id = format!("sound-{number}");
+            let response = send(&site, number % 3, &id, "");
+            sound.lock().expect("no thread panics").push((id, response));
+            std::thread::sleep(Duration::from_millis(200));
+        }
+        deadly.join().expect("the callers' thread ends")
+    });
+    let later = later_arrivals(&engines);
+    assert!(later <= MAX_LATER_ARRIVALS, "{later} deadly requests reached servers late");
+    // By then the part is known, and its requests are refused as not run, with no time to retry.
+    let last = deadly.last().expect("requests were sent");
+    assert_eq!((last.status, &last.retry_after), (503, &None));
+    let sound = sound.into_inner().expect("no thread panics");
+    let served = sound[25..].iter().filter(|(id, response)| {
+        response.status == 200 && response.body.as_ref() == Some(&expected_stream(id))
+    });
+    assert!(served.count() >= 20, "sound prompts with the same first part are served");
+}
+
+#[test]
+fn crashes_for_other_reasons_do_not_stop_the_first_part_that_all_prompts_share() {
+    let (site, engines) = start(2, 4);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            for round in 0..6 {
+                // One at a time, then all of them at once.
+                match round {
+                    5 => engines.iter().for_each(RawEngine::crash),
+                    _ => engines[round % 4].crash(),
+                }
+                std::thread::sleep(Duration::from_millis(900));
+            }
+        });
+        for number in 0..150 {
+            let site = &site;
+            scope.spawn(move || send(site, number % 2, &format!("beside-{number}"), "ab:5,"));
+            std::thread::sleep(Duration::from_millis(40));
+        }
+    });
+    site.wait_until("the servers serve again", |site| {
+        (0..2).all(|node| send(site, node, "after", "ab:5,").status == 200)
+    });
+    for number in 0..20 {
+        assert_eq!(send(&site, number % 2, &format!("after-{number}"), "ab:5,").status, 200);
+    }
+}
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -313,6 +313,11 @@
         self.nodes[node].send(id, kind)
     }
 
+    /// Sends a stream request whose prompt has these parts, and no others, to a node.
+    pub fn send_prompt(&self, node: usize, id: &str, model: &str, parts: &str) -> CallerResponse {
+        send_stream(&self.nodes[node].callers, "draft", id, model, parts)
+    }
+
     /// Returns how often a request ran, summed over all servers.
     pub fn runs_of(&self, request: &str) -> u32 {
         self.servers.iter().map(|server| server.runs_of(request)).sum()
@@ -426,11 +431,14 @@
     }
 }
 
+/// The parts of the prompt of stream requests that do not say otherwise.
+const PROMPT_PARTS: &str = "5c1e07a2:60,91bd3f06:40";
+
 /// Sends a caller's request to the node at `address`.
 pub fn send_request(address: &str, id: &str, kind: RequestKind) -> CallerResponse {
-    let agent = agent(Duration::from_secs(8));
-    let url = |path: &str| format!("http://{}/{path}/{id}", address);
-    let result = match kind {
+    let agent = caller_agent();
+    let url = |path: &str| format!("http://{address}/{path}/{id}");
+    receive(match kind {
         RequestKind::Idempotent => agent
             .get(url("lookup"))
             .header("Host", "site.example")
@@ -443,20 +451,29 @@
             .header("X-Attempt-Id", id)
             .header("X-Deadline-Ms", "4000")
             .send("pay"),
-        RequestKind::Stream(model) | RequestKind::UnresumableStream(model) => agent
-            .post(url(match kind {
-                RequestKind::UnresumableStream(_) => "draft-once",
-                _ => "draft",
-            }))
-            .header("Host", "site.example")
-            .header("X-Attempt-Id", id)
-            .header("X-Deadline-Ms", "8000")
-            .header("X-Model", model)
-            .header("X-Token-Counts", "100,8")
-            .header("X-Prompt-Prefix", "5c1e07a2:60,91bd3f06:40")
-            .header("X-Hold", "not the caller's to set")
-            .send("draft"),
-    };
+        RequestKind::Stream(model) => {
+            return send_stream(address, "draft", id, model, PROMPT_PARTS);
+        }
+        RequestKind::UnresumableStream(model) => {
+            return send_stream(address, "draft-once", id, model, PROMPT_PARTS);
+        }
+    })
+}
+
+fn send_stream(address: &str, path: &str, id: &str, model: &str, parts: &str) -> CallerResponse {
+    let request = caller_agent()
+        .post(format!("http://{address}/{path}/{id}"))
+        .header("Host", "site.example")
+        .header("X-Attempt-Id", id)
+        .header("X-Deadline-Ms", "8000")
+        .header("X-Model", model)
+        .header("X-Token-Counts", "100,8")
+        .header("X-Prompt-Prefix", parts)
+        .header("X-Hold", "not the caller's to set");
+    receive(request.send("draft"))
+}
+
+fn receive(result: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> CallerResponse {
     let Ok(mut res) = result else {
         return CallerResponse { status: 0, server_stamp: None, retry_after: None, body: None };
     };
@@ -472,6 +489,10 @@
     }
 }
 
+fn caller_agent() -> Agent {
+    agent(Duration::from_secs(8))
+}
+
 fn agent(timeout: Duration) -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
--- a/savoryport_standin/src/raw_engine.rs
+++ b/savoryport_standin/src/raw_engine.rs
@@ -1,14 +1,14 @@
 //! A stand-in for a model engine that controls its connections itself: its streams end with their
-//! connection, and it can break one off without a reset.
+//! connection, it can break one off without a reset, and it can crash with all of them.
 //!
 //! The HTTP library of the other stand-ins keeps connections open and frames every response.
 
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
@@ -48,12 +48,28 @@
     },
     /// Closes the connection of each stream before its first event, without a reset.
     EndsBeforeFirstEvent,
+    /// Crashes when it begins to answer a request whose prompt has this part, and starts again
+    /// after a while.
+    CrashesOnPart {
+        /// The part's id, as the request's header has it.
+        part: String,
+    },
 }
 
+/// The time from a crash to the restart.
+const RESTART_TIME: Duration = Duration::from_millis(700);
+
 #[derive(Debug, Default)]
 struct State {
+    incarnation: u64,
     runs_by_request: HashMap<String, u32>,
     accepted_orders: u64,
+    /// When a request with the part of [`RawEngineFault::CrashesOnPart`] arrived.
+    deadly_arrivals: Vec<Instant>,
+    crashes: Vec<Instant>,
+    /// The end of the downtime after a crash, and whether the listener has to be replaced.
+    down_until: Option<Instant>,
+    connections: Vec<TcpStream>,
 }
 
 /// A running engine.
@@ -64,7 +80,7 @@
 struct Shared {
     cfg: RawEngineConfig,
     address: String,
-    incarnation: u64,
+    store: MetadataStandin,
     state: Mutex<State>,
 }
 
@@ -83,57 +99,112 @@
     /// Panics if it cannot listen.
     pub fn start(cfg: RawEngineConfig, store: &MetadataStandin, incarnation: u64) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free local port");
-        listener.set_nonblocking(true).expect("a socket option");
         let address = listener.local_addr().expect("a bound socket").to_string();
-        let shared = Arc::new(Shared { cfg, address, incarnation, state: Mutex::default() });
-        let engine = Self { shared: shared.clone() };
-        engine.register(store);
-        // Ends with the last handle of the engine.
+        let state = Mutex::new(State { incarnation, ..State::default() });
+        let shared = Arc::new(Shared { cfg, address, store: store.clone(), state });
+        shared.register();
+        // The thread ends with the last handle of the engine.
         let weak = Arc::downgrade(&shared);
-        drop(shared);
-        thread::spawn(move || {
-            while let Some(shared) = weak.upgrade() {
-                match listener.accept() {
-                    Ok((stream, _)) => {
-                        thread::spawn(move || shared.serve_connection(stream));
-                    }
-                    Err(err) if err.kind() == ErrorKind::WouldBlock => {
-                        drop(shared);
-                        thread::sleep(ACCEPT_POLL);
-                    }
-                    Err(_) => return,
-                }
-            }
-        });
-        engine
+        thread::spawn(move || accept(&weak, listener));
+        Self { shared }
+    }
+
+    /// Crashes now, whatever it serves.
+    pub fn crash(&self) {
+        self.shared.crash();
+    }
+
+    /// Returns when requests with the deadly part arrived, oldest first.
+    pub fn deadly_arrivals(&self) -> Vec<Instant> {
+        self.shared.lock().deadly_arrivals.clone()
+    }
+
+    /// Returns when the engine crashed, oldest first.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.shared.lock().crashes.clone()
     }
 
     /// Returns how often the request with this id ran.
     pub fn runs_of(&self, request: &str) -> u32 {
         self.shared.lock().runs_by_request.get(request).copied().unwrap_or(0)
     }
+}
+
+/// Accepts connections while the engine is up.
+fn accept(engine: &Weak<Shared>, listener: TcpListener) {
+    let mut listener = Some(listener);
+    while let Some(shared) = engine.upgrade() {
+        let down_until = shared.lock().down_until;
+        match (down_until, &listener) {
+            (Some(until), _) if Instant::now() < until => listener = None,
+            (Some(_), _) => {
+                listener = TcpListener::bind(&shared.address).ok();
+                if listener.is_some() {
+                    shared.restart();
+                }
+            }
+            (None, Some(open)) => {
+                let _ = open.set_nonblocking(true);
+                if let Ok((stream, _)) = open.accept() {
+                    let shared = shared.clone();
+                    thread::spawn(move || shared.serve_connection(stream));
+                    continue;
+                }
+            }
+            (None, None) => return,
+        }
+        drop(shared);
+        thread::sleep(ACCEPT_POLL);
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics while holding the lock")
+    }
 
     /// Writes the engine's registry entry.
-    fn register(&self, store: &MetadataStandin) {
-        let Shared { cfg, address, incarnation, .. } = &*self.shared;
+    fn register(&self) {
+        let Self { cfg, address, .. } = self;
         let entry = json!({
             "service": cfg.service, "address": address, "zone": cfg.failure_domain, "slots": 64,
-            "state": "ready", "born": incarnation, "models": models_json(&cfg.models),
+            "state": "ready", "born": self.lock().incarnation, "models": models_json(&cfg.models),
             "sequence": 1,
         });
-        store.write(&format!("servers/{}", cfg.id), &entry);
+        self.store.write(&format!("servers/{}", cfg.id), &entry);
     }
-}
 
-impl Shared {
-    fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no thread panics while holding the lock")
+    /// Closes all connections and refuses new ones for [`RESTART_TIME`].
+    fn crash(&self) {
+        let mut state = self.lock();
+        if state.down_until.is_some() {
+            return;
+        }
+        let now = Instant::now();
+        state.down_until = Some(now + RESTART_TIME);
+        state.crashes.push(now);
+        drop(state);
+        // The accepting thread closes the listener first, since a crash leaves none behind.
+        thread::sleep(ACCEPT_POLL * 3);
+        for connection in self.lock().connections.drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn restart(&self) {
+        let mut state = self.lock();
+        state.down_until = None;
+        state.incarnation += 1_000_000;
+        state.accepted_orders = 0;
+        drop(state);
+        self.register();
     }
 
     fn serve_connection(&self, mut stream: TcpStream) {
         let _ = stream.set_nonblocking(false);
         let _ = stream.set_nodelay(true);
-        let Ok(reader) = stream.try_clone() else { return };
+        let (Ok(reader), Ok(handle)) = (stream.try_clone(), stream.try_clone()) else { return };
+        self.lock().connections.push(handle);
         let mut reader = BufReader::new(reader);
         while let Some(head) = read_request(&mut reader) {
             let keeps_open = match (&*head.method, &*head.path) {
@@ -152,9 +223,13 @@
     }
 
     fn send_report(&self, stream: &mut TcpStream) -> bool {
+        let (incarnation, accepted_orders) = {
+            let state = self.lock();
+            (state.incarnation, state.accepted_orders)
+        };
         let report = json!({
-            "born": self.incarnation, "stage": "both", "models": models_json(&self.cfg.models),
-            "busy": false, "sequence": self.lock().accepted_orders, "pending": [],
+            "born": incarnation, "stage": "both", "models": models_json(&self.cfg.models),
+            "busy": false, "sequence": accepted_orders, "pending": [],
         });
         send_json(stream, 200, &report.to_string())
     }
@@ -170,6 +245,16 @@
             );
         }
         *self.lock().runs_by_request.entry(id.to_owned()).or_default() += 1;
+        let is_deadly = match &self.cfg.fault {
+            RawEngineFault::CrashesOnPart { part } => {
+                let mut parts = header("x-prompt-prefix").split(',');
+                parts.any(|listed| listed.split(':').next() == Some(part))
+            }
+            _ => false,
+        };
+        if is_deadly {
+            self.lock().deadly_arrivals.push(Instant::now());
+        }
         let response_head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nX-Attempt-Id: {id}\r\n\
              X-Server-Stamp: stamp.{}\r\n\r\n",
@@ -178,6 +263,11 @@
         if !send(stream, &response_head) || self.cfg.fault == RawEngineFault::EndsBeforeFirstEvent {
             return false;
         }
+        if is_deadly {
+            thread::sleep(self.cfg.event_interval);
+            self.crash();
+            return false;
+        }
         let first = header("last-event-id").parse::<u64>().unwrap_or(0) + 1;
         for number in first..=self.cfg.events_per_stream {
             thread::sleep(self.cfg.event_interval);
