Refuse requests with a prompt part that crashes servers

Cause: nothing linked a crash to a prompt. Each node sees only its part of the crashes, each such request was sent to a second server as well, and callers sent it again.

A connection that breaks before the first event now makes the node ask whether the server still accepts connections. If its VM refuses them, and the server is registered as ready, it has crashed, and all parts but the last of the request are suspected. A part is cleared of a crash by any answer to a request with it from 30 s before the crash on, which clears the part that all prompts of a route share within milliseconds. Crashes travel with the syncs between nodes, as a set that merges in any order, and only while two nodes differ. Each node derives from the set which parts explain crashes at two moments at least, three or four where other crashes are frequent or only one server crashed. Requests with such a part are refused at once, as not run and without Retry-After. A request whose parts are suspect from an earlier crash is not sent to a second server; others in flight beside it are. Nothing is stored: a restarted node learns the crashes from the others.

savoryport quarantine list and clear, the status page, two metrics and the log lines show it to operators.

Clearing a part first left the shared first part as the explanation of the same crashes; the test of the command found it, and a clearing settles the crashes now.

--- a/savoryport/src/cli/arguments.rs
+++ b/savoryport/src/cli/arguments.rs
@@ -21,6 +21,10 @@
   explain NAME             show where a model or adapter is, and why
   settings check FILE.json check the daemons' settings
   drain VM                 send a VM no new work, or with --undo send it work again
+  quarantine list IP:PORT  list the parts of prompts that nodes refuse; IP:PORT is the
+                           metrics address of any savoryport-node
+  quarantine clear IP:PORT PART
+                           serve requests with a part again
 
 Options:
   --settings FILE.json     take the platform's addresses from the daemons' settings
@@ -48,6 +52,8 @@
     Explain(String),
     SettingsCheck(PathBuf),
     Drain(String),
+    QuarantineList(String),
+    QuarantineClear(String, String),
 }
 
 /// The options of all commands.
@@ -126,6 +132,10 @@
         ["status"] => Command::Status,
         ["explain", name] => Command::Explain((*name).to_owned()),
         ["settings", "check", path] => Command::SettingsCheck(path.into()),
+        ["quarantine", "list", node] => Command::QuarantineList((*node).to_owned()),
+        ["quarantine", "clear", node, part] => {
+            Command::QuarantineClear((*node).to_owned(), (*part).to_owned())
+        }
         ["drain", vm] => Command::Drain((*vm).to_owned()),
         [] => return Err("no command given".into()),
         words => return Err(format!("not a command: {}", words.join(" ")).into()),
--- a/savoryport/src/cli/mod.rs
+++ b/savoryport/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod arguments;
 mod drain;
 mod explain;
+mod quarantine;
 mod status;
 pub mod table;
 
@@ -93,5 +94,7 @@
             Ok(format!("{}{}: settings are good", warnings.collect::<String>(), path.display()))
         }
         Command::Drain(vm) => drain::drain(options, &vm),
+        Command::QuarantineList(node) => quarantine::list(options, &node),
+        Command::QuarantineClear(node, part) => quarantine::clear(options, &node, &part),
     }
 }
--- a/savoryport/src/metrics.rs
+++ b/savoryport/src/metrics.rs
@@ -14,7 +14,7 @@
 use savoryport_core::rank::Rank;
 use savoryport_core::request_lifecycle::Outcome;
 use thiserror::Error;
-use tiny_http::{Header, Response, Server};
+use tiny_http::{Header, Method, Response, Server};
 use tokio_util::sync::CancellationToken;
 
 use crate::rpc::{EntryStatus, RankCounts};
@@ -248,6 +248,22 @@
     registry: Registry,
     status: impl Fn() -> serde_json::Value + Send + 'static,
     cancel: CancellationToken,
+) -> Result<(), MetricsServerError> {
+    serve_metrics_and_commands(address, registry, status, |_| None, cancel)
+}
+
+/// Serves the pages of [`serve_metrics`], and operators' commands: `command` gets the path of a
+/// POST request, and returns the response body, or `None` if there is no such command.
+///
+/// # Errors
+///
+/// Returns an error if the server cannot listen on the address.
+pub fn serve_metrics_and_commands(
+    address: &str,
+    registry: Registry,
+    status: impl Fn() -> serde_json::Value + Send + 'static,
+    command: impl Fn(&str) -> Option<serde_json::Value> + Send + 'static,
+    cancel: CancellationToken,
 ) -> Result<(), MetricsServerError> {
     let server = Server::http(address).map_err(|err| MetricsServerError {
         address: address.to_owned(),
@@ -257,7 +273,11 @@
     std::thread::spawn(move || {
         while !cancel.is_cancelled() {
             let Ok(Some(req)) = server.recv_timeout(STOP_POLL_INTERVAL) else { continue };
-            let (code, content_type, body) = response_for(req.url(), &registry, &status);
+            let (code, content_type, body) = if *req.method() == Method::Post {
+                command_response(command(req.url()))
+            } else {
+                response_for(req.url(), &registry, &status)
+            };
             let header =
                 Header::from_bytes("content-type", content_type).expect("content types are ASCII");
             let response = Response::from_string(body).with_status_code(code).with_header(header);
@@ -267,6 +287,14 @@
     Ok(())
 }
 
+/// Returns the status code, content type and body for the outcome of a command.
+fn command_response(outcome: Option<serde_json::Value>) -> (u16, &'static str, String) {
+    match outcome {
+        Some(outcome) => (200, "application/json", outcome.to_string()),
+        None => (404, "text/plain", "no such command\n".to_owned()),
+    }
+}
+
 /// Returns the status code, content type and body for a request path.
 fn response_for(
     path: &str,
--- a/savoryport/src/node/exchange.rs
+++ b/savoryport/src/node/exchange.rs
@@ -9,6 +9,7 @@
 
 use super::context::NodeContext;
 use super::peer_server::{add_loads, record_prompts};
+use super::quarantine::{crash_exchange, merge_crashes};
 use super::rpc::{Role, SyncPosition, SyncRequest};
 use super::sync::fetch_config;
 use super::view::DomainLeader;
@@ -16,9 +17,17 @@
 /// Timeout for one call to the leader of another failure domain, which may be in another region.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// What the leader of another failure domain last said of its state.
+#[derive(Debug, Clone, Copy, Default)]
+struct Position {
+    sync: SyncPosition,
+    /// The digest of the crashes that it knew of.
+    crash_digest: Option<u64>,
+}
+
 /// Exchanges loads and changes with the leaders of other failure domains while this node leads one.
 pub async fn exchange(cx: Arc<NodeContext>) {
-    let mut positions: HashMap<Name, SyncPosition> = HashMap::new();
+    let mut positions: HashMap<Name, Position> = HashMap::new();
     loop {
         tokio::time::sleep(exchange_period(&cx)).await;
         if !cx.controllers.leads_any() {
@@ -56,8 +65,8 @@
     cx: &Arc<NodeContext>,
     domain: &Name,
     leader: &DomainLeader,
-    have: SyncPosition,
-) -> Option<SyncPosition> {
+    have: Position,
+) -> Option<Position> {
     let now = cx.now();
     let mut loads: HashMap<Name, ServerLoad> = cx.peer_reports.other_loads(None, false, now);
     add_loads(&mut loads, cx.routing.lock().loads.own());
@@ -65,7 +74,7 @@
         member: cx.member.clone(),
         role: Role::Holder,
         is_leaving: false,
-        have: SyncPosition { config: cx.fleet.view().version(), ..have },
+        have: SyncPosition { config: cx.fleet.view().version(), ..have.sync },
         loads: loads.into_iter().collect(),
         work_ms: Vec::new(),
         demand: if cx.settings.is_in_own_region(domain) {
@@ -75,6 +84,7 @@
         },
         copies: cx.copies_in_domain(domain),
         prompts: Vec::new(),
+        crashes: crash_exchange(cx, have.crash_digest),
     };
     let exchange = async {
         let connection = cx.peers.get_or_connect(leader.peers).await?;
@@ -106,5 +116,6 @@
             state.set_domain_members(domain, members.clone(), cx.now());
         }
     });
-    Some(reply.position)
+    let crash_digest = Some(merge_crashes(cx, &reply.crashes));
+    Some(Position { sync: reply.position, crash_digest })
 }
--- a/savoryport/src/node/metrics.rs
+++ b/savoryport/src/node/metrics.rs
@@ -5,6 +5,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use savoryport_core::node::deployment::Route;
@@ -59,6 +60,10 @@
     pub resumed_streams: Counter,
     /// Streams whose server ended them inside an event.
     pub cut_events: Counter,
+    /// Servers that crashed while requests of this node waited for their first events.
+    pub server_crashes: Counter,
+    /// Parts of prompts in quarantine.
+    pub quarantined_parts: Gauge,
     /// Orders sent to engines.
     pub orders: Family<OrderLabels, Counter>,
     /// Moves of models that the planner decided on.
@@ -84,6 +89,8 @@
             not_run: Counter::default(),
             resumed_streams: Counter::default(),
             cut_events: Counter::default(),
+            server_crashes: Counter::default(),
+            quarantined_parts: Gauge::default(),
             orders: Family::default(),
             model_moves: Counter::default(),
             engine_reports: Counter::default(),
@@ -140,6 +147,16 @@
             "Streams whose server ended them inside an event",
             self.cut_events.clone(),
         );
+        registry.register(
+            "server_crashes",
+            "Servers that crashed before they answered a request of this node",
+            self.server_crashes.clone(),
+        );
+        registry.register(
+            "quarantined_parts",
+            "Parts of prompts in quarantine",
+            self.quarantined_parts.clone(),
+        );
         registry.register("orders", "Orders to engines", self.orders.clone());
         registry.register("model_moves", "Moves of models decided", self.model_moves.clone());
         registry.register(
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -25,6 +25,7 @@
 mod planner;
 pub mod prompt_log;
 mod proxy;
+mod quarantine;
 mod receive;
 mod response;
 mod routing_state;
@@ -110,10 +111,13 @@
     let metrics_listen = SocketAddr::new(cx.settings.ip_address, cx.settings.metrics_port);
     let status_cx = cx.clone();
     let status = move || status::status(&status_cx);
-    let served = crate::metrics::serve_metrics(
+    let command_cx = cx.clone();
+    let command = move |path: &str| status::run_command(&command_cx, path);
+    let served = crate::metrics::serve_metrics_and_commands(
         &metrics_listen.to_string(),
         cx.metrics.registry(),
         status,
+        command,
         cx.connection_shutdown.clone(),
     );
     if let Err(err) = served {
--- a/savoryport/src/node/peer_server.rs
+++ b/savoryport/src/node/peer_server.rs
@@ -17,6 +17,7 @@
 use super::NodeError;
 use super::context::NodeContext;
 use super::prompt_log::PromptLog;
+use super::quarantine::{crash_exchange, merge_crashes};
 use super::rpc::{
     Availability, CopyUse, MAX_MESSAGE_BYTES, Peer, PromptRecord, Role, SyncPosition, SyncReply,
     SyncRequest,
@@ -209,6 +210,7 @@
             }
             Role::Holder => cx.peer_reports.lock().prompts.shared_prefixes_since(0),
         };
+        let their_digest = merge_crashes(cx, &req.crashes);
         let mut reply = SyncReply {
             position: SyncPosition::default(),
             is_holder: cx.controllers.leads(&cx.settings.failure_domain)
@@ -219,6 +221,7 @@
             members: None,
             loads: loads.into_iter().collect(),
             prompts,
+            crashes: crash_exchange(cx, Some(their_digest)),
         };
         cx.fleet.update(|state| {
             if req.role == Role::Follower {
--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -72,6 +72,8 @@
     pub(super) excluded_servers: Vec<Name>,
     /// The number of failed connection attempts.
     pub(super) unreachable_count: u32,
+    /// Whether a part of the prompt may have crashed another server than the last one.
+    pub(super) is_suspect: bool,
     /// Whether a server may have run the request.
     pub(super) may_have_run: bool,
     /// A server's error response, which is forwarded if no other server responds.
@@ -124,6 +126,9 @@
 
 impl ProxyRequest {
     async fn run(mut self) -> Response<Body> {
+        if self.is_quarantined() {
+            return self.finish_with_refusal(Refusal::new(RefusalCause::Quarantined));
+        }
         self.record_demand();
         loop {
             let selected = match self.select_server().await {
@@ -174,7 +179,7 @@
         if self.remaining_time().is_zero() {
             return Some(RefusalCause::TimedOut);
         }
-        if self.may_have_run && !self.route.kind.is_repeatable() {
+        if self.may_have_run && (self.is_suspect || !self.route.kind.is_repeatable()) {
             return Some(RefusalCause::Broken);
         }
         let exhausted = self.attempted_servers.len() as u32 >= self.route.max_attempts
@@ -298,6 +303,7 @@
                     request = &*self.head.id, server = &*server.id;
                     "server failed before the first event"
                 );
+                self.on_unanswered(selected).await;
                 self.on_broken_connection(&server.id)
             }
             Some(Ok((response, first_frame))) => {
@@ -322,6 +328,7 @@
                     request = &*self.head.id, server = &*server.id, err:% = err;
                     "server failed before responding"
                 );
+                self.on_unanswered(selected).await;
                 self.on_broken_connection(&server.id)
             }
             None => {
--- /dev/null
+++ b/savoryport/src/node/quarantine.rs
@@ -0,0 +1,145 @@
+//! Finds out whether a server has crashed on a request, and exchanges the crashes with other nodes.
+//!
+//! `savoryport_core::node::quarantine` decides which requests reach no server because of them.
+
+use std::time::Duration;
+
+use savoryport_core::Name;
+use savoryport_core::node::quarantine::{QuarantineChange, SharedParts};
+use savoryport_platform::connection::Liveness;
+
+use super::context::NodeContext;
+use super::proxy::ProxyRequest;
+use super::rpc::CrashExchange;
+use super::server_selection::SelectedServer;
+
+/// The time that a server has to accept or refuse a connection after it has broken one. The VM of a
+/// crashed server refuses at once.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+
+impl ProxyRequest {
+    /// Returns the parts of the prompt that other prompts may share. The last part is the request's
+    /// own.
+    fn shared_parts(&self) -> SharedParts {
+        let Some(generation) = &self.head.generation else { return SharedParts::new() };
+        let shared = generation.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.id).collect()
+    }
+
+    /// Returns whether the request is refused because a part of its prompt crashes servers. One
+    /// that has begun to be answered has shown that its parts do not.
+    pub(super) fn is_quarantined(&self) -> bool {
+        if self.time_to_first_token.is_some() {
+            return false;
+        }
+        let (parts, now) = (self.shared_parts(), self.cx.now());
+        let part = self.cx.routing.lock().quarantine.blocking_part(&parts, now);
+        if let Some(part) = part {
+            log::info!(
+                request = &*self.head.id, part = &*format_part(part); "prompt part in quarantine"
+            );
+        }
+        part.is_some()
+    }
+
+    /// Records that a server began to answer the request.
+    pub(super) fn record_answer(&self) {
+        let (parts, now) = (self.shared_parts(), self.cx.now());
+        let changes = self.cx.routing.lock().quarantine.record_answer(&parts, now);
+        report_changes(&self.cx, &changes);
+    }
+
+    /// Handles a connection that broke before the server began to answer. If the server has
+    /// crashed, the parts of the prompt become suspect, and a request of which a part is already
+    /// suspect because of another crash is not sent to a further server.
+    pub(super) async fn on_unanswered(&mut self, selected: &SelectedServer) {
+        let parts = self.shared_parts();
+        if parts.is_empty() || !self.has_crashed(selected).await {
+            return;
+        }
+        let (server, incarnation) = (&selected.server.id, selected.server.incarnation);
+        let mut routing = self.cx.routing.lock();
+        let changes = routing.quarantine.record_crash(server, incarnation, &parts, self.cx.now());
+        self.is_suspect = routing.quarantine.is_suspect(&parts, server, incarnation);
+        drop(routing);
+        self.cx.metrics.server_crashes.inc();
+        log::warn!(
+            request = &*self.head.id, server = &**server, incarnation = incarnation,
+            suspect = self.is_suspect; "server crashed before it answered"
+        );
+        report_changes(&self.cx, &changes);
+    }
+
+    /// Returns whether the server has crashed. One that breaks single connections still accepts new
+    /// ones, and one that stops as planned is not registered as ready any more.
+    async fn has_crashed(&self, selected: &SelectedServer) -> bool {
+        let server = &selected.server;
+        let view = self.cx.fleet.view();
+        let Some(known) = view.servers.get(&server.id) else { return false };
+        if !known.is_ready() {
+            return false;
+        }
+        if known.incarnation != server.incarnation {
+            return true;
+        }
+        let address: Name = server.address.to_string().into();
+        self.cx.request_pool.probe(&address, PROBE_TIMEOUT).await == Liveness::Refuses
+    }
+}
+
+/// Returns what another node needs to learn, of which the last known digest is `their_digest`.
+pub(super) fn crash_exchange(cx: &NodeContext, their_digest: Option<u64>) -> CrashExchange {
+    let routing = cx.routing.lock();
+    let digest = routing.quarantine.digest();
+    let reports = if their_digest == Some(digest) {
+        Vec::new()
+    } else {
+        routing.quarantine.reports(cx.now())
+    };
+    CrashExchange { digest, reports }
+}
+
+/// Takes over what another node knows; returns its digest.
+pub(super) fn merge_crashes(cx: &NodeContext, theirs: &CrashExchange) -> u64 {
+    let changes = cx.routing.lock().quarantine.merge(&theirs.reports, cx.now());
+    report_changes(cx, &changes);
+    theirs.digest
+}
+
+/// Forgets old crashes.
+pub(super) fn expire_crashes(cx: &NodeContext) {
+    let changes = cx.routing.lock().quarantine.expire(cx.now());
+    report_changes(cx, &changes);
+}
+
+/// Clears a part for an operator; returns whether it was in quarantine.
+pub(super) fn clear_part(cx: &NodeContext, part: u64) -> bool {
+    log::warn!(part = &*format_part(part); "prompt part cleared by an operator");
+    let changes = cx.routing.lock().quarantine.clear(part, cx.now());
+    report_changes(cx, &changes);
+    !changes.is_empty()
+}
+
+/// Formats the id of a part as callers write it.
+pub(super) fn format_part(part: u64) -> String {
+    format!("{part:x}")
+}
+
+fn report_changes(cx: &NodeContext, changes: &[QuarantineChange]) {
+    if changes.is_empty() {
+        return;
+    }
+    let entries = cx.routing.lock().quarantine.entries().len();
+    cx.metrics.quarantined_parts.set(entries as i64);
+    for change in changes {
+        let (entry, event) = match change {
+            QuarantineChange::Began(entry) => (entry, "quarantine began"),
+            QuarantineChange::Ended(entry) => (entry, "quarantine ended"),
+        };
+        let parts: Vec<String> = entry.parts.iter().map(|part| format_part(*part)).collect();
+        log::warn!(
+            parts = &*parts.join(","), crashes = entry.servers.len(),
+            servers = &*entry.servers.join(","); "{event}"
+        );
+    }
+}
--- a/savoryport/src/node/response.rs
+++ b/savoryport/src/node/response.rs
@@ -41,6 +41,8 @@
     NoAdapter,
     /// The first token is expected too late to be of use.
     Overload,
+    /// A part of the prompt crashes servers.
+    Quarantined,
     /// No server ran the request.
     NotRun,
     /// A server failed before its response was complete, so the request may have run.
@@ -62,6 +64,7 @@
             Self::NoModel => "no-model",
             Self::NoAdapter => "no-adapter",
             Self::Overload => "overload",
+            Self::Quarantined => "quarantined",
             Self::NotRun => "not-run",
             Self::Broken => "broken",
             Self::TimedOut => "timed-out",
@@ -77,6 +80,7 @@
             | Self::NoModel
             | Self::NoAdapter
             | Self::Overload
+            | Self::Quarantined
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadHead => StatusCode::BAD_REQUEST,
--- a/savoryport/src/node/routing_state.rs
+++ b/savoryport/src/node/routing_state.rs
@@ -9,6 +9,7 @@
 use savoryport_core::node::health::HealthTracker;
 use savoryport_core::node::load::LoadTracker;
 use savoryport_core::node::prefix::PrefixCacheIndex;
+use savoryport_core::node::quarantine::Quarantine;
 use savoryport_core::node::retry_budget::{RetryBound, RetryBudget};
 use savoryport_core::node::selection::{SelectionContext, SelectionCosts, SpeedEstimates};
 
@@ -30,6 +31,8 @@
     pub prefixes: PrefixCacheIndex,
     /// Failure rates and pauses by server.
     pub health: HealthTracker,
+    /// The crashes of servers, and the parts of prompts that are refused because of them.
+    pub quarantine: Quarantine,
     /// Running averages of the speeds of models and servers.
     pub speeds: SpeedEstimates,
     /// The retries that may still be sent.
@@ -54,6 +57,7 @@
             loads: LoadTracker::default(),
             prefixes: PrefixCacheIndex::default(),
             health: HealthTracker::default(),
+            quarantine: Quarantine::default(),
             speeds: SpeedEstimates::default(),
             retry_budget: RetryBudget::new(bound, nodes),
             requests_by_copy: HashMap::new(),
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -8,6 +8,7 @@
 
 use savoryport_core::Name;
 use savoryport_core::node::load::ServerLoad;
+use savoryport_core::node::quarantine::CrashReport;
 use savoryport_core::node::registry::BackendServer;
 use savoryport_core::node::request::PrefixKeys;
 use serde::{Deserialize, Serialize};
@@ -83,6 +84,15 @@
     pub requests: u32,
 }
 
+/// The crashes of servers that a node knows of.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashExchange {
+    /// The hash of all that the sending node knows.
+    pub digest: u64,
+    /// The crashes; none if the other node is believed to know them all.
+    pub reports: Vec<CrashReport>,
+}
+
 /// The report of the calling node, and the state that it already has.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct SyncRequest {
@@ -106,6 +116,8 @@
     pub copies: Vec<CopyUse>,
     /// The prompts that it sent to servers since the last call.
     pub prompts: Vec<PromptRecord>,
+    /// The crashes of servers that it knows of.
+    pub crashes: CrashExchange,
 }
 
 /// The nodes that callers may use, and the leaders by failure domain.
@@ -131,6 +143,8 @@
     pub loads: Vec<(Name, ServerLoad)>,
     /// Prompts that other nodes sent to servers.
     pub prompts: Vec<PromptRecord>,
+    /// The crashes of servers that the called node knows of.
+    pub crashes: CrashExchange,
 }
 
 /// A leader's reply to a request for a model or an adapter.
--- a/savoryport/src/node/server_response.rs
+++ b/savoryport/src/node/server_response.rs
@@ -34,6 +34,7 @@
         match collect_body(body, self.remaining_time(), &self.cx.response_memory).await {
             Some(body) => {
                 in_flight.record_first_token();
+                self.record_answer();
                 self.record_outcome(&selected.server.id, ServerOutcome::Answered);
                 let elapsed = self.cx.now() - in_flight.sent_at();
                 let server = &selected.server.id;
@@ -46,6 +47,7 @@
                 Attempt::Respond(forward_response(status, headers, body))
             }
             None => {
+                self.on_unanswered(selected).await;
                 self.may_have_run = true;
                 self.record_outcome(&selected.server.id, ServerOutcome::Unreachable);
                 Attempt::TryNext
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -95,6 +95,15 @@
 
     /// Selects a server; waits for an adapter or a model if it can be loaded in time.
     pub(super) async fn select_server(&mut self) -> Result<SelectedServer, Refusal> {
+        let selected = self.await_server().await?;
+        // The news may have come while the request waited.
+        if self.is_quarantined() {
+            return Err(Refusal::new(RefusalCause::Quarantined));
+        }
+        Ok(selected)
+    }
+
+    async fn await_server(&mut self) -> Result<SelectedServer, Refusal> {
         if !self.reserve_attempt() {
             return Err(Refusal::with_retry_after(
                 RefusalCause::NotRun,
--- a/savoryport/src/node/status.rs
+++ b/savoryport/src/node/status.rs
@@ -1,9 +1,11 @@
 //! The status page of a node, as JSON for operators.
 
+use savoryport_core::node::quarantine::QuarantineEntry;
 use serde_json::{Value, json};
 
 use super::context::NodeContext;
 use super::domain_controller::DomainController;
+use super::quarantine::{clear_part, format_part};
 
 /// Returns the node's current view: the configuration, members, leaders and servers, and the
 /// engines of the failure domains that it leads.
@@ -30,6 +32,8 @@
             })
         })
         .collect();
+    let quarantine: Vec<Value> = routing.quarantine.entries().iter().map(entry_status).collect();
+    let crashes = routing.quarantine.crash_count();
     drop(routing);
     let members: Vec<&str> = view.members.iter().map(|member| &*member.vm).collect();
     json!({
@@ -40,6 +44,8 @@
         "members": members,
         "holders": view.leaders,
         "servers": servers,
+        "quarantine": quarantine,
+        "crashes": crashes,
         "duties": cx
             .controllers
             .all()
@@ -49,6 +55,18 @@
     })
 }
 
+fn entry_status(entry: &QuarantineEntry) -> Value {
+    let parts: Vec<String> = entry.parts.iter().map(|part| format_part(*part)).collect();
+    json!({ "parts": parts, "servers": entry.servers })
+}
+
+/// Runs the operators' command that a path names; returns `None` if there is no such command.
+pub fn run_command(cx: &NodeContext, path: &str) -> Option<Value> {
+    let part = path.strip_prefix("/quarantine/clear/")?;
+    let part = u64::from_str_radix(part, 16).ok()?;
+    Some(json!({ "part": format_part(part), "was_quarantined": clear_part(cx, part) }))
+}
+
 fn leadership_status(cx: &NodeContext, controller: &DomainController) -> Value {
     let engines = controller.engine_states().into_iter().map(|(server, contents, current_move)| {
         json!({
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -49,6 +49,8 @@
     is_resumable: bool,
     /// The id of the last event that was forwarded.
     last_event_id: Option<u64>,
+    /// Whether the current server has sent a complete event.
+    is_answering: bool,
 }
 
 /// Returns a response with the status and headers of the first server's stream, and spawns a task
@@ -68,6 +70,7 @@
     let forwarder = StreamForwarder {
         is_resumable: request.route.kind == RequestKind::Stream { resumable: true },
         last_event_id: request.head.last_event_id,
+        is_answering: false,
         splitter: EventSplitter::default(),
         boundary: EventBoundary::default(),
         chunks,
@@ -109,6 +112,9 @@
             }
             // The connection is closed before the stream is resumed elsewhere.
             drop(opened);
+            if !self.is_answering {
+                self.request.on_unanswered(&selected).await;
+            }
             self.request.record_outcome(&selected.server.id, ServerOutcome::Unreachable);
             match self.resume().await {
                 Some((next_opened, next_selected)) => {
@@ -131,6 +137,7 @@
             return None;
         }
         self.splitter = EventSplitter::default();
+        self.is_answering = false;
         while self.may_resume() && !self.request.remaining_time().is_zero() {
             let selected = tokio::select! {
                 selected = self.request.select_server() => selected,
@@ -219,7 +226,9 @@
 
     fn may_resume(&self) -> bool {
         let request = &self.request;
-        self.is_resumable && (request.attempted_servers.len() as u32) < request.route.max_attempts
+        self.is_resumable
+            && !request.is_suspect
+            && (request.attempted_servers.len() as u32) < request.route.max_attempts
     }
 
     /// Returns whether the server currently sends nothing to any request of this node and another
@@ -263,6 +272,9 @@
     async fn forward_data(&mut self, data: Bytes) -> Option<StreamEnd> {
         if !self.is_resumable {
             self.boundary.push(&data);
+            if self.boundary.is_between_events() {
+                self.record_answer();
+            }
             return self.send_to_caller(data).await;
         }
         if !self.splitter.push(&data) {
@@ -278,6 +290,9 @@
             }
             ready.extend_from_slice(&event.bytes);
         }
+        if !ready.is_empty() {
+            self.record_answer();
+        }
         if ready.is_empty() { None } else { self.send_to_caller(ready.freeze()).await }
     }
 
@@ -298,6 +313,13 @@
         );
     }
 
+    /// Records that the server has begun to answer.
+    fn record_answer(&mut self) {
+        if !std::mem::replace(&mut self.is_answering, true) {
+            self.request.record_answer();
+        }
+    }
+
     /// Returns whether the bytes received so far end inside an event. The server has then broken
     /// off the stream, even if the end of the connection is the end of the body.
     fn is_inside_event(&self) -> bool {
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -11,6 +11,7 @@
 
 use super::context::NodeContext;
 use super::peer_server::record_prompts;
+use super::quarantine::{crash_exchange, expire_crashes, merge_crashes};
 use super::rpc::{NO_SERVERS_WANTED, PeerError, Role, SyncPosition, SyncReply, SyncRequest};
 use super::store_reader::accept_config;
 use super::view::{AcceptedConfig, DomainLeader};
@@ -60,6 +61,8 @@
     known_before: Option<HashSet<Name>>,
     /// Before this time, the node does not ask for all servers.
     full_reply_after: Option<Instant>,
+    /// The digest of the crashes that the leader knew of.
+    crash_digest: Option<u64>,
     /// Since when calls have failed.
     failing_since: Option<Instant>,
     /// Whether the leader counts as lost.
@@ -107,6 +110,7 @@
             cleaned_at = cx.now();
             let view = cx.fleet.view();
             cx.routing.lock().retain_servers(|server| view.servers.contains_key(server));
+            expire_crashes(&cx);
         }
         read_store
             .send_if_modified(|reads| std::mem::replace(reads, must_read_store) != must_read_store);
@@ -194,6 +198,7 @@
 }
 
 fn follower_request(cx: &NodeContext, following: &Following) -> SyncRequest {
+    let crashes = crash_exchange(cx, following.crash_digest);
     let mut routing = cx.routing.lock();
     SyncRequest {
         member: cx.member.clone(),
@@ -205,6 +210,7 @@
         demand: Vec::new(),
         copies: routing.copies_in_use(),
         prompts: std::mem::take(&mut routing.new_prompts),
+        crashes,
     }
 }
 
@@ -220,6 +226,7 @@
     let known_before = following.known_before.take_if(|_| applies_servers);
     cx.routing.lock().loads.set_other_nodes(reply.loads.iter().cloned().collect());
     record_prompts(cx, &reply.prompts, now);
+    following.crash_digest = Some(merge_crashes(cx, &reply.crashes));
     cx.fleet.update(|state| {
         if applies_servers {
             state.apply_servers(&reply);
--- a/savoryport/tests/node_deadly_prompts.rs
+++ b/savoryport/tests/node_deadly_prompts.rs
@@ -3,6 +3,7 @@
 
 mod node_site;
 
+use std::process::Command;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -122,3 +123,54 @@
         assert_eq!(send(&site, number % 2, &format!("after-{number}"), "ab:5,").status, 200);
     }
 }
+
+/// Sends deadly prompts until the nodes refuse them.
+fn await_quarantine(site: &NodeSite) {
+    site.wait_until("every node refuses the part", |site| {
+        std::thread::sleep(Duration::from_millis(300));
+        (0..site.nodes.len()).all(|node| {
+            send(site, node, &format!("deadly-{node}"), &format!("{DEADLY_PART}:10,")).status == 503
+        })
+    });
+}
+
+#[test]
+fn a_restarted_node_learns_of_the_quarantine_from_the_others() {
+    let (mut site, engines) = start(2, 4);
+    await_quarantine(&site);
+    for node in 0..2 {
+        site.nodes[node].signal(rustix::process::Signal::KILL);
+        site.nodes[node].wait_for_exit();
+        site.nodes[node].start();
+        site.wait_until("the node is ready and knows the part", |site| {
+            site.nodes[node].is_ready() && site.nodes[node].status().contains(DEADLY_PART)
+        });
+        let arrivals =
+            || engines.iter().map(|engine| engine.deadly_arrivals().len()).sum::<usize>();
+        let before = arrivals();
+        let id = format!("deadly-after-{node}");
+        assert_eq!(send(&site, node, &id, &format!("{DEADLY_PART}:10,")).status, 503);
+        assert_eq!(arrivals(), before, "no server gets the request");
+    }
+}
+
+#[test]
+fn an_operator_lists_the_quarantine_and_clears_a_part_at_all_nodes() {
+    let (site, _engines) = start(2, 4);
+    await_quarantine(&site);
+    let run = |args: &[&str]| {
+        let node = site.nodes[0].metrics_address();
+        let program = env!("CARGO_BIN_EXE_savoryport");
+        let (verb, rest) = args.split_first().expect("a verb");
+        let output = Command::new(program).args(["quarantine", verb, &node]).args(rest).output();
+        String::from_utf8(output.expect("the program runs").stdout).expect("text")
+    };
+    let listed = run(&["list"]);
+    assert!(listed.contains(DEADLY_PART) && listed.contains("fragile-"), "{listed}");
+    assert!(run(&["clear", DEADLY_PART]).contains("cleared"));
+    site.wait_until("no node knows a quarantine", |site| {
+        site.nodes.iter().all(|node| !node.status().contains(DEADLY_PART))
+    });
+    let listed = run(&["list"]);
+    assert!(listed.contains("no part"), "{listed}");
+}
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -396,7 +396,7 @@
 
     /// Returns the content of the node's status page.
     pub fn status(&self) -> String {
-        let url = format!("http://127.0.0.1:{}/status", self.settings["metrics_port"]);
+        let url = format!("http://{}/status", self.metrics_address());
         let response = agent(Duration::from_millis(500)).get(&url).call();
         let body = response.ok().and_then(|mut response| response.body_mut().read_to_string().ok());
         body.unwrap_or_else(|| "no status".to_owned())
@@ -407,6 +407,11 @@
         format!("127.0.0.1:{}", self.settings["peers_port"])
     }
 
+    /// Returns the address of the metrics and status pages.
+    pub fn metrics_address(&self) -> String {
+        format!("127.0.0.1:{}", self.settings["metrics_port"])
+    }
+
     /// Returns the most memory that the process has taken up so far, in MB.
     pub fn peak_memory_mb(&self) -> u64 {
         let id = self.process.as_ref().expect("the process runs").id();
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -12,6 +12,7 @@
 pub mod orders;
 pub mod placement;
 pub mod prefix;
+pub mod quarantine;
 pub mod registry;
 pub mod request;
 pub mod retry_budget;
--- a/savoryport_platform/src/connection.rs
+++ b/savoryport_platform/src/connection.rs
@@ -6,6 +6,7 @@
 //! that nothing was sent.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -51,6 +52,17 @@
     },
 }
 
+/// Whether a server accepts connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Liveness {
+    /// It accepted one.
+    Accepts,
+    /// Its VM refused the connection: nothing listens on the port.
+    Refuses,
+    /// No answer came, or the connection failed in another way.
+    Unknown,
+}
+
 /// An open connection, for one request at a time.
 #[derive(Debug)]
 pub struct Connection {
@@ -119,6 +131,20 @@
         }
     }
 
+    /// Checks whether the server accepts a new connection, which is kept for the next request.
+    pub async fn probe(&self, address: &Name, timeout: Duration) -> Liveness {
+        match tokio::time::timeout(timeout, TcpStream::connect(&**address)).await {
+            Ok(Ok(stream)) => {
+                if let Ok(connection) = from_stream(address, stream).await {
+                    self.release(connection);
+                }
+                Liveness::Accepts
+            }
+            Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => Liveness::Refuses,
+            Ok(Err(_)) | Err(_) => Liveness::Unknown,
+        }
+    }
+
     /// Puts a connection back into the pool; its last response must have been read to the end.
     pub fn release(&self, connection: Connection) {
         self.release_with_keep_alive(connection, None);
@@ -199,6 +225,10 @@
 
 async fn open(address: &Name) -> Result<Connection, String> {
     let stream = TcpStream::connect(&**address).await.map_err(|err| err.to_string())?;
+    from_stream(address, stream).await
+}
+
+async fn from_stream(address: &Name, stream: TcpStream) -> Result<Connection, String> {
     stream.set_nodelay(true).map_err(|err| err.to_string())?;
     let unacknowledged_ms = TCP_USER_TIMEOUT.as_millis() as u32;
     rustix::net::sockopt::set_tcp_user_timeout(&stream, unacknowledged_ms)
