Count crashes 0.2 s apart as separate evidence

Crashes count as one so that a rack that fails at once proves nothing; a VM that refuses connections shows that within a few milliseconds, and reports of other nodes arrive within one or two round trips, so 0.2 s is enough for that.

--- a/savoryport_core/src/node/quarantine.rs
+++ b/savoryport_core/src/node/quarantine.rs
@@ -24,7 +24,7 @@
 const ANSWERED_LIFETIME: Duration = Duration::from_secs(30);
 
 /// Crashes within this time of each other count as one: a rack or a failure domain fails at once.
-const SAME_MOMENT: Duration = Duration::from_millis(500);
+const SAME_MOMENT: Duration = Duration::from_millis(200);
 
 /// The time before the first crash of a part in which crashes that it does not explain raise the
 /// number of crashes that it takes to quarantine it.
