Keep a paused stream until another server resumes it

Cause: after 1.2 s in which its server sent nothing to any request, the node closed the connection and then asked another server, which may refuse. The first one may only have paused the stream for more urgent requests.

The connection now stays open while the other server is asked, and whichever sends first has the stream. A server runs a resumed stream from its first event on, which comes with the opened response, so that the two runs do not overlap for longer than it takes to close the first connection. If nobody resumes the stream, the node goes on waiting for the first server.

--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -26,18 +26,29 @@
 const MAX_GAP: Duration = Duration::from_millis(1_200);
 
 /// How reading a server's stream ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StreamEnd {
     /// The server sent all of it.
     Completed,
-    /// The connection failed, delivered no data for too long or delivered invalid data.
+    /// The connection failed or delivered invalid data.
     Interrupted,
+    /// Another server resumes the stream after its server delivered no data for too long.
+    Switched(Box<(OpenedResponse, SelectedServer)>),
     /// The caller disconnected.
     CallerLeft,
     /// The request's deadline passed.
     TimedOut,
 }
 
+/// What came first while another server was asked to resume a stream.
+enum SilenceEnd {
+    /// The silent server sent something, or its body ended.
+    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// Another server resumes the stream.
+    Switched(Box<(OpenedResponse, SelectedServer)>),
+    /// No other server does.
+    NoAlternative,
+}
+
 /// A stream that is being forwarded to the caller.
 struct StreamForwarder {
     request: ProxyRequest,
@@ -108,6 +119,12 @@
                 }
                 StreamEnd::CallerLeft => return self.request.log_end("caller-left", status, None),
                 StreamEnd::TimedOut => return self.abort("timed-out", status).await,
+                StreamEnd::Switched(next) => {
+                    drop(opened);
+                    self.request.record_outcome(&selected.server.id, ServerOutcome::Unreachable);
+                    (opened, selected) = *next;
+                    continue;
+                }
                 StreamEnd::Interrupted => {}
             }
             // The connection is closed before the stream is resumed elsewhere.
@@ -136,8 +153,6 @@
         if !self.may_resume() {
             return None;
         }
-        self.splitter = EventSplitter::default();
-        self.is_answering = false;
         while self.may_resume() && !self.request.remaining_time().is_zero() {
             let selected = tokio::select! {
                 selected = self.request.select_server() => selected,
@@ -165,6 +180,8 @@
                 () = self.chunks.closed() => return None,
             };
             if let Some(opened) = opened {
+                self.splitter = EventSplitter::default();
+                self.is_answering = false;
                 return Some((opened, selected));
             }
         }
@@ -192,23 +209,32 @@
                 frame = tokio::time::timeout(max_gap, opened.body.frame()) => frame,
                 () = self.chunks.closed() => return StreamEnd::CallerLeft,
             };
-            if frame.is_err()
-                && !self.request.remaining_time().is_zero()
-                && !self.should_switch_server(opened)
-            {
-                waiting_since = self.request.cx.now();
-                continue;
-            }
+            let frame = match frame {
+                Ok(frame) => frame,
+                Err(_) if self.request.remaining_time().is_zero() => return StreamEnd::TimedOut,
+                Err(_) if self.should_switch_server(opened) => {
+                    match self.resume_beside(opened).await {
+                        SilenceEnd::Frame(frame) => frame,
+                        SilenceEnd::Switched(next) => return StreamEnd::Switched(next),
+                        SilenceEnd::NoAlternative => {
+                            waiting_since = self.request.cx.now();
+                            continue;
+                        }
+                    }
+                }
+                Err(_) => {
+                    waiting_since = self.request.cx.now();
+                    continue;
+                }
+            };
             let data = match frame {
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(_))) => return StreamEnd::Interrupted,
-                Ok(None) if self.is_inside_event() => {
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                Some(Err(_)) => return StreamEnd::Interrupted,
+                None if self.is_inside_event() => {
                     self.log_partial_event(opened);
                     return StreamEnd::Interrupted;
                 }
-                Ok(None) => return StreamEnd::Completed,
-                Err(_) if self.request.remaining_time().is_zero() => return StreamEnd::TimedOut,
-                Err(_) => return StreamEnd::Interrupted,
+                None => return StreamEnd::Completed,
             };
             self.record_chunk(opened);
             let last_event_id = self.last_event_id;
@@ -224,6 +250,25 @@
         }
     }
 
+    /// Asks another server to resume the stream of a silent one, to which the connection stays open
+    /// until then: it may only pause, and the other one may refuse. A server that resumes a stream
+    /// runs it from its first event on, which comes with the opened response.
+    async fn resume_beside(&mut self, opened: &mut OpenedResponse) -> SilenceEnd {
+        let last_server = self.request.last_server.clone();
+        let end = tokio::select! {
+            biased;
+            frame = opened.body.frame() => SilenceEnd::Frame(frame),
+            next = self.resume() => match next {
+                Some(next) => SilenceEnd::Switched(Box::new(next)),
+                None => SilenceEnd::NoAlternative,
+            },
+        };
+        if !matches!(end, SilenceEnd::Switched(_)) {
+            self.request.last_server = last_server;
+        }
+        end
+    }
+
     fn may_resume(&self) -> bool {
         let request = &self.request;
         self.is_resumable
