Keep the crashes of a large fleet short, and the same at all nodes

A hundred servers of a large fleet may crash at once, more than the 64 crashes that a node keeps.

Nodes now drop crashes without open suspects first, and otherwise in an order that all share. A crash that no part explains is settled after 10 s: it goes on counting as unexplained, and is reported without its suspects.

--- a/savoryport_core/src/node/quarantine.rs
+++ b/savoryport_core/src/node/quarantine.rs
@@ -34,6 +34,10 @@
 /// it. This ends a quarantine.
 const CRASH_LIFETIME: Duration = Duration::from_secs(600);
 
+/// A crash of which all suspects are cleared is settled after this time, in which all nodes have
+/// reported their requests at the server.
+const SETTLE_TIME: Duration = Duration::from_secs(10);
+
 /// The number of crashes that are kept. Parts that differ in each request would otherwise fill the
 /// memory.
 const MAX_CRASHES: usize = 64;
@@ -66,6 +70,8 @@
         pub age_ms: u64,
         /// The time since the crash or the last refusal because of it, in milliseconds.
         pub unused_ms: u64,
+        /// Whether no part explains the crash. It has no suspects then.
+        pub is_settled: bool,
         /// The parts of the requests that the server had not begun to answer.
         pub suspects: Vec<Suspect>,
     }
@@ -101,6 +107,8 @@
 struct Crash {
     at: Instant,
     last_used: Instant,
+    /// Whether no part explains the crash, so that it takes no further suspects.
+    is_settled: bool,
     /// Whether each suspected part is cleared.
     suspects: BTreeMap<u64, bool>,
 }
@@ -115,7 +123,8 @@
         now: Instant,
     ) -> Vec<QuarantineChange> {
         let suspects = parts.iter().map(|part| (*part, false)).collect();
-        self.add((server.clone(), incarnation), Crash { at: now, last_used: now, suspects });
+        let crash = Crash { at: now, last_used: now, is_settled: false, suspects };
+        self.add((server.clone(), incarnation), crash);
         self.reconsider()
     }
 
@@ -153,6 +162,7 @@
             let crash = Crash {
                 at: ago(report.age_ms),
                 last_used: ago(report.unused_ms),
+                is_settled: report.is_settled,
                 suspects: suspects.collect(),
             };
             self.add((report.server.clone(), report.incarnation), crash);
@@ -160,8 +170,14 @@
         if reports.is_empty() { Vec::new() } else { self.reconsider() }
     }
 
-    /// Forgets crashes that are too old.
+    /// Settles crashes that no part explains, and forgets those that are too old.
     pub fn expire(&mut self, now: Instant) -> Vec<QuarantineChange> {
+        for crash in self.crashes.values_mut() {
+            let is_cleared = crash.suspects.values().all(|is_cleared| *is_cleared);
+            if is_cleared && now.saturating_duration_since(crash.at) >= SETTLE_TIME {
+                crash.settle();
+            }
+        }
         let count = self.crashes.len();
         self.crashes
             .retain(|_, crash| now.saturating_duration_since(crash.last_used) < CRASH_LIFETIME);
@@ -208,6 +224,7 @@
             incarnation: *incarnation,
             age_ms: age_ms(crash.at),
             unused_ms: age_ms(crash.last_used),
+            is_settled: crash.is_settled,
             suspects: crash
                 .suspects
                 .iter()
@@ -223,6 +240,7 @@
         for ((server, incarnation), crash) in &self.crashes {
             hash.update(server.as_bytes());
             hash.update(&incarnation.to_le_bytes());
+            hash.update(&[u8::from(crash.is_settled)]);
             for (part, is_cleared) in &crash.suspects {
                 hash.update(&part.to_le_bytes());
                 hash.update(&[u8::from(*is_cleared)]);
@@ -236,8 +254,8 @@
         let incarnation = key.1;
         let crash = self.crashes.entry(key).or_insert(Crash {
             suspects: BTreeMap::new(),
-            at: reported.at,
-            last_used: reported.last_used,
+            is_settled: false,
+            ..reported
         });
         crash.at = crash.at.min(reported.at);
         crash.last_used = crash.last_used.max(reported.last_used);
@@ -246,16 +264,24 @@
             let was_answered = self.answered.get(part).is_some_and(|at| at > cleared_after);
             *crash.suspects.entry(part).or_default() |= is_cleared || was_answered;
         }
+        if crash.is_settled || reported.is_settled {
+            crash.settle();
+        }
+        // What exceeds the limits is dropped in an order that all nodes share, so that they still
+        // agree.
         while crash.suspects.len() > MAX_SUSPECTS {
-            // By hash, so that all nodes keep the same ones and each crash keeps others.
             let rank = |part: &u64| xxh3_64_with_seed(&part.to_le_bytes(), incarnation);
             let Some(last) = crash.suspects.keys().copied().max_by_key(rank) else { return };
             crash.suspects.remove(&last);
         }
         while self.crashes.len() > MAX_CRASHES {
-            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.last_used);
-            let Some(oldest) = oldest.map(|(key, _)| key.clone()) else { return };
-            self.crashes.remove(&oldest);
+            let rank = |(server, incarnation): &(Name, u64), crash: &Crash| {
+                let is_cleared = crash.suspects.values().all(|is_cleared| *is_cleared);
+                (is_cleared, xxh3_64_with_seed(server.as_bytes(), *incarnation))
+            };
+            let last = self.crashes.iter().max_by_key(|(key, crash)| rank(key, crash));
+            let Some(last) = last.map(|(key, _)| key.clone()) else { return };
+            self.crashes.remove(&last);
         }
     }
 
@@ -275,6 +301,13 @@
     }
 }
 
+impl Crash {
+    fn settle(&mut self) {
+        self.is_settled = true;
+        self.suspects.clear();
+    }
+}
+
 /// Returns the parts that explain crashes: again and again the one that explains most of those that
 /// no other part explains yet. A sound part that was in flight beside a deadly one thus explains
 /// nothing.
--- a/savoryport_core/tests/quarantine.rs
+++ b/savoryport_core/tests/quarantine.rs
@@ -193,6 +193,52 @@
     assert!(reports.len() <= 64 && reports.iter().all(|report| report.suspects.len() <= 64));
 }
 
+#[test]
+fn nodes_agree_in_short_reports_after_a_hundred_servers_crash() {
+    let start = Instant::now();
+    let mut nodes = vec![Quarantine::default(); 4];
+    for number in 0..120 {
+        let node = &mut nodes[number % 4];
+        node.record_crash(&server(number), 1, &[FIRST, 100 + number as u64], start);
+        node.record_answer(&[FIRST], start + ms(200));
+    }
+    let now = start + ms(1_000);
+    for _ in 0..3 {
+        exchange(&mut nodes, now);
+    }
+    assert!(nodes.iter().all(|node| node.digest() == nodes[0].digest()));
+    assert!(nodes.iter().all(|node| node.entries().is_empty()));
+    // The servers that are left answer the other prompts, and the crashes are settled.
+    for number in 0..120 {
+        nodes[0].record_answer(&[100 + number], start + ms(5_000));
+    }
+    let now = start + ms(12_000);
+    nodes[0].expire(now);
+    for _ in 0..3 {
+        exchange(&mut nodes, now);
+    }
+    assert!(nodes.iter().all(|node| node.digest() == nodes[0].digest()));
+    let reports = nodes[1].reports(now);
+    assert!(reports.iter().all(|report| report.suspects.is_empty()), "{reports:?}");
+}
+
+#[test]
+fn deadly_part_is_found_among_the_crashes_of_a_hundred_servers() {
+    let start = Instant::now();
+    let mut node = Quarantine::default();
+    for number in 0..120 {
+        node.record_crash(&server(number), 1, &[FIRST, 100 + number as u64], start);
+    }
+    for number in 0..120 {
+        node.record_answer(&[FIRST, 100 + number], start + ms(400));
+    }
+    for number in 120..122 {
+        let at = start + ms(500) * (number - 119) as u32;
+        node.record_crash(&server(number), 1, &[FIRST, DEADLY], at);
+    }
+    assert!(is_blocked(&mut node, &[FIRST, DEADLY], start + ms(2_000)));
+}
+
 proptest! {
     /// The crashes of a search: when, which server, which parts, and which part was answered after.
     #[test]
