Take only a complete event for an answer when a part is in quarantine

A request was let through a quarantine once any byte of its stream had arrived, but a server may crash inside the first event. Such a request could have been sent to a second server although its part was refused by then. Found by reading; the other check, that no part is suspect from an earlier crash, hid it, so that no test fails without this.

--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -72,6 +72,8 @@
     pub(super) excluded_servers: Vec<Name>,
     /// The number of failed connection attempts.
     pub(super) unreachable_count: u32,
+    /// Whether a server has sent a complete event or response.
+    pub(super) is_answered: bool,
     /// Whether a part of the prompt may have crashed another server than the last one.
     pub(super) is_suspect: bool,
     /// Whether a server may have run the request.
--- a/savoryport/src/node/quarantine.rs
+++ b/savoryport/src/node/quarantine.rs
@@ -29,7 +29,7 @@
     /// Returns whether the request is refused because a part of its prompt crashes servers. One
     /// that has begun to be answered has shown that its parts do not.
     pub(super) fn is_quarantined(&self) -> bool {
-        if self.time_to_first_token.is_some() {
+        if self.is_answered {
             return false;
         }
         let (parts, now) = (self.shared_parts(), self.cx.now());
@@ -43,7 +43,8 @@
     }
 
     /// Records that a server began to answer the request.
-    pub(super) fn record_answer(&self) {
+    pub(super) fn record_answer(&mut self) {
+        self.is_answered = true;
         let (parts, now) = (self.shared_parts(), self.cx.now());
         let changes = self.cx.routing.lock().quarantine.record_answer(&parts, now);
         report_changes(&self.cx, &changes);
--- a/savoryport/src/node/receive.rs
+++ b/savoryport/src/node/receive.rs
@@ -66,6 +66,7 @@
             attempted_servers: Vec::new(),
             excluded_servers: Vec::new(),
             unreachable_count: 0,
+            is_answered: false,
             is_suspect: false,
             may_have_run: false,
             failure_response: None,
--- a/savoryport_standin/src/raw_engine.rs
+++ b/savoryport_standin/src/raw_engine.rs
@@ -265,6 +265,10 @@
         }
         if is_deadly {
             thread::sleep(self.cfg.event_interval);
+            // Every second crash comes inside the first event.
+            if self.lock().deadly_arrivals.len().is_multiple_of(2) {
+                send(stream, "id: 1\nda");
+            }
             self.crash();
             return false;
         }
