--- a/savoryport_core/src/node/quarantine.rs
+++ b/savoryport_core/src/node/quarantine.rs
@@ -323,8 +323,8 @@
                 crashes_by_part.entry(*part).or_default().push(index);
             }
         }
-        let convicted = crashes_by_part.values().filter(|indexes| is_proof(indexes, &unexplained));
-        let Some(indexes) = convicted.max_by_key(|indexes| indexes.len()).cloned() else {
+        let proven = crashes_by_part.values().filter(|indexes| is_proof(indexes, &unexplained));
+        let Some(indexes) = proven.max_by_key(|indexes| indexes.len()).cloned() else {
             return entries;
         };
         let same = crashes_by_part.iter().filter(|(_, others)| **others == indexes);
