--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -58,6 +58,10 @@
     pub models: Vec<(&'static str, f64)>,
     /// The timeout of all routes in the next configuration, in milliseconds.
     pub route_timeout_ms: f64,
+    /// The failure domain of the nodes and servers that are started next.
+    pub failure_domain: &'static str,
+    /// All failure domains.
+    failure_domains: Vec<&'static str>,
     /// The number of servers started so far, from which each gets its own incarnation.
     starts: u64,
     _dir: TempDir,
@@ -91,6 +95,11 @@
     /// Starts `nodes` nodes, four model engines and three plain servers, and waits until they
     /// serve.
     pub fn start(nodes: usize) -> Self {
+        Self::start_in_domains(&["east-a"], nodes)
+    }
+
+    /// Starts `nodes` nodes in each of these failure domains. The servers are in the first one.
+    pub fn start_in_domains(failure_domains: &[&'static str], nodes: usize) -> Self {
         let dir = TempDir::new().expect("a temporary directory");
         let store = MetadataStandin::start("127.0.0.1:0");
         let mut site = Self {
@@ -101,6 +110,8 @@
             config_version: 1,
             models: MODELS.to_vec(),
             route_timeout_ms: 4_000.0,
+            failure_domain: failure_domains[0],
+            failure_domains: failure_domains.to_vec(),
             starts: 0,
             _dir: dir,
         };
@@ -112,12 +123,16 @@
         for number in 0..3 {
             site.add_server(&format!("plain-{number}"), "orders", &[]);
         }
-        for number in 0..nodes {
-            site.add_node(&format!("vm-{number}"));
+        for failure_domain in failure_domains {
+            site.failure_domain = failure_domain;
+            for _ in 0..nodes {
+                site.add_node(&format!("vm-{}", site.nodes.len()));
+            }
         }
+        site.failure_domain = failure_domains[0];
         site.wait_until("every node is ready", |site| site.nodes.iter().all(SiteNode::is_ready));
-        site.wait_until("a node is the leader", |site| {
-            !site.store.keys("savoryport/duty/").is_empty()
+        site.wait_until("every failure domain has a leader", |site| {
+            site.duty_keys().len() == failure_domains.len()
         });
         site.wait_until("the servers are known", |site| {
             site.send(0, "warm", RequestKind::Idempotent).status == 200
@@ -187,7 +202,7 @@
         let config = BackendConfig {
             id: id.to_owned(),
             service: service.to_owned(),
-            failure_domain: "east-a".to_owned(),
+            failure_domain: self.failure_domain.to_owned(),
             models: models.iter().map(|model| (*model).to_owned()).collect(),
             adapter_capacity: 3,
             model_capacity: 3,
@@ -205,7 +220,7 @@
         let cfg = RawEngineConfig {
             id: id.to_owned(),
             service: "drafts".to_owned(),
-            failure_domain: "east-a".to_owned(),
+            failure_domain: self.failure_domain.to_owned(),
             models: vec![model.to_owned()],
             events_per_stream: 8,
             event_interval: Duration::from_millis(10),
@@ -252,9 +267,11 @@
             let address = free_address();
             address.rsplit_once(':').and_then(|(_, port)| port.parse::<u16>().ok())
         };
+        let domains: HashMap<_, _> =
+            self.failure_domains.iter().map(|domain| (domain, "east")).collect();
         let settings = json!({
-            "vm": name, "failure_domain": "east-a", "region": "east",
-            "failure_domains": { "east-a": "east" },
+            "vm": name, "failure_domain": self.failure_domain, "region": "east",
+            "failure_domains": domains,
             "callers_listen": callers, "directory_listen": directory,
             "readiness_listen": free_address(),
             "peers_port": port(), "metrics_port": port(),
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -84,6 +84,10 @@
 #[derive(Default)]
 struct State {
     fault: BackendFault,
+    /// The value of the `Server-Limit` header in responses.
+    limit: Option<String>,
+    /// When requests arrived that are no reports or orders.
+    arrivals: Vec<Instant>,
     runs_by_request: HashMap<String, u32>,
     orders: Vec<ReceivedOrder>,
     accepted_orders: u64,
@@ -161,6 +165,17 @@
         self.lock().fault = fault;
     }
 
+    /// Sets the value of the `Server-Limit` header in responses to requests, by which a server in
+    /// need names the requests a second that it takes.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        self.lock().limit = limit.map(str::to_owned);
+    }
+
+    /// Returns when requests arrived, oldest first, those included that the server refused.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.lock().arrivals.clone()
+    }
+
     /// Returns how often the request with this id ran.
     pub fn runs_of(&self, request: &str) -> u32 {
         self.lock().runs_by_request.get(request).copied().unwrap_or(0)
@@ -202,7 +217,7 @@
     let body = read_body(&mut req);
     let fault = state.lock().expect("no thread panics while holding the lock").fault;
     if fault == BackendFault::Replaced {
-        return reject(req, 421);
+        return refuse(req, 421, None);
     }
     match (req.method(), req.url()) {
         (Method::Get, "/savoryport/report") => send_report(state, incarnation, req),
@@ -291,8 +306,10 @@
 fn run_request(state: &Mutex<State>, cfg: &BackendConfig, req: Request) {
     let id = header(&req, "x-attempt-id").unwrap_or_default();
     let target = header(&req, "x-model");
-    let fault = {
+    let (fault, proof) = {
         let mut state = state.lock().expect("no thread panics while holding the lock");
+        state.arrivals.push(Instant::now());
+        let limit = state.limit.clone();
         let is_for_other_server =
             header(&req, "x-expect-instance").is_some_and(|expected| expected != cfg.id);
         let is_not_loaded = target.as_deref().is_some_and(|target| !state.has_loaded(target));
@@ -303,64 +320,69 @@
         };
         if let Some(status) = status {
             drop(state);
-            return reject(req, status);
+            return refuse(req, status, limit.as_deref());
         }
         *state.runs_by_request.entry(id.clone()).or_default() += 1;
-        state.fault
+        (state.fault, proof_headers(cfg, &id, limit.as_deref()))
     };
     match fault {
         BackendFault::DropsResponses => {
             thread::sleep(cfg.event_interval);
             drop_response(req);
         }
-        BackendFault::InternalError => respond(req, cfg, 500, &id, "failed"),
-        BackendFault::WrongRequestId => respond(req, cfg, 200, "somebody-else", "not yours"),
+        BackendFault::InternalError => respond(req, 500, &proof, "failed"),
+        BackendFault::WrongRequestId => {
+            respond(req, 200, &proof_headers(cfg, "somebody-else", None), "not yours");
+        }
         BackendFault::EndlessHead => {
-            let head = format!("HTTP/1.1 200 OK\r\n{}", proof_headers(cfg, &id));
+            let head = format!("HTTP/1.1 200 OK\r\n{proof}");
             send_endlessly(req, &head, "X-Filler: ");
         }
         BackendFault::EndlessBody => {
-            let head = format!("HTTP/1.1 200 OK\r\n{}\r\n", proof_headers(cfg, &id));
+            let head = format!("HTTP/1.1 200 OK\r\n{proof}\r\n");
             send_endlessly(req, &head, "");
         }
         BackendFault::EndlessEvent => {
             let head = format!(
-                "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{}\r\nid: 1\ndata: ",
-                proof_headers(cfg, &id)
+                "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{proof}\r\nid: 1\ndata: "
             );
             send_endlessly(req, &head, "");
         }
-        BackendFault::Drips { interval } => drip(req, cfg, &id, interval),
+        BackendFault::Drips { interval } => drip(req, &proof, interval),
         BackendFault::RepeatsResponses { after } => {
             thread::sleep(cfg.event_interval);
-            respond_twice(req, cfg, &id, after);
+            respond_twice(req, &proof, &id, after);
         }
-        _ if target.is_some() => stream_events(req, cfg, &id, fault),
+        _ if target.is_some() => stream_events(req, cfg, &proof, &id, fault),
         _ => {
             thread::sleep(cfg.event_interval);
-            respond(req, cfg, 200, &id, &format!("answer to {id}"));
+            respond(req, 200, &proof, &format!("answer to {id}"));
         }
     }
 }
 
-fn reject(req: Request, status: u16) {
-    let not_executed = Header::from_bytes("X-Not-Executed", "1").expect("plain ASCII");
-    let _ =
-        req.respond(Response::from_string("").with_status_code(status).with_header(not_executed));
+/// Refuses a request without running it.
+fn refuse(req: Request, status: u16, limit: Option<&str>) {
+    respond(req, status, &format!("X-Not-Executed: 1\r\n{}", limit_header(limit)), "");
 }
 
-fn respond(req: Request, cfg: &BackendConfig, status: u16, id: &str, body: &str) {
-    let headers = [("X-Attempt-Id", id), ("X-Server-Stamp", &*format!("stamp.{}", cfg.id))]
-        .map(|(name, value)| Header::from_bytes(name, value).expect("plain ASCII"));
+/// Sends a response with these header lines.
+fn respond(req: Request, status: u16, headers: &str, body: &str) {
     let mut response = Response::from_string(body).with_status_code(status);
-    for header in headers {
-        response = response.with_header(header);
+    for line in headers.lines() {
+        response = response.with_header(line.parse::<Header>().expect("a header line"));
     }
     let _ = req.respond(response);
 }
 
-fn proof_headers(cfg: &BackendConfig, id: &str) -> String {
-    format!("X-Attempt-Id: {id}\r\nX-Server-Stamp: stamp.{}\r\n", cfg.id)
+/// Returns the header lines by which a server shows that it ran the request.
+fn proof_headers(cfg: &BackendConfig, id: &str, limit: Option<&str>) -> String {
+    let limit = limit_header(limit);
+    format!("X-Attempt-Id: {id}\r\nX-Server-Stamp: stamp.{}\r\n{limit}", cfg.id)
+}
+
+fn limit_header(limit: Option<&str>) -> String {
+    limit.map(|limit| format!("Server-Limit: {limit}\r\n")).unwrap_or_default()
 }
 
 /// Sends `head` and then filler lines, each starting with `line_start`, until the client closes the
@@ -377,12 +399,10 @@
 }
 
 /// Sends the head of a stream and then single bytes of an event without end.
-fn drip(req: Request, cfg: &BackendConfig, id: &str, interval: Duration) {
+fn drip(req: Request, proof: &str, interval: Duration) {
     let mut writer = req.into_writer();
-    let head = format!(
-        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{}\r\nid: 1\ndata: ",
-        proof_headers(cfg, id)
-    );
+    let head =
+        format!("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{proof}\r\nid: 1\ndata: ");
     let _ = writer.write_all(head.as_bytes());
     while writer.flush().is_ok() {
         thread::sleep(interval);
@@ -393,28 +413,24 @@
 }
 
 /// Sends the same response twice on one connection.
-fn respond_twice(req: Request, cfg: &BackendConfig, id: &str, after: Duration) {
+fn respond_twice(req: Request, proof: &str, id: &str, after: Duration) {
     let body = format!("answer to {id}");
-    let response = format!(
-        "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n{}\r\n{body}",
-        body.len(),
-        proof_headers(cfg, id)
-    );
+    let response =
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n{proof}\r\n{body}", body.len());
     let mut writer = req.into_writer();
     let _ = writer.write_all(response.as_bytes()).and_then(|()| writer.flush());
     thread::sleep(after);
     let _ = writer.write_all(response.as_bytes()).and_then(|()| writer.flush());
 }
 
-fn stream_events(req: Request, cfg: &BackendConfig, id: &str, fault: BackendFault) {
+fn stream_events(req: Request, cfg: &BackendConfig, proof: &str, id: &str, fault: BackendFault) {
     /// The event in which [`BackendFault::BreaksStreams`] breaks off, counted from 1.
     const BREAK_EVENT: u64 = 3;
     let first = header(&req, "last-event-id").and_then(|last| last.parse().ok()).unwrap_or(0) + 1;
     let mut writer = req.into_writer();
     let mut head = format!(
-        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nX-Attempt-Id: {id}\r\n\
-         X-Server-Stamp: stamp.{}\r\ntransfer-encoding: chunked\r\n\r\n",
-        cfg.id
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{proof}\
+         transfer-encoding: chunked\r\n\r\n"
     );
     for event in first..=cfg.events_per_stream {
         let mut payload = format!("id: {event}\ndata: event {event} of {id}\n\n");
