Keep to the limits that servers in need name, over all nodes together

What callers saw: a server in need was sent more than it can take. Cause: no node read Server-Limit, so every node went on sending by load. The class: a bound over all nodes that no node owns.

Nodes now learn limits from answers and exchange the changes with their syncs. Servers without a limit come first. For each request to another one, a node asks the leader of the server's failure domain for a permit; the leader schedules permits one interval apart, so that nothing depends on the number of nodes. Ruled out: equal parts for each node, which reach 4 + 8 in 4 s at one a second on eight nodes, and far more on 295.

--- a/savoryport/src/node/domain_controller.rs
+++ b/savoryport/src/node/domain_controller.rs
@@ -54,6 +54,12 @@
         !self.0.lock().expect("no thread panics while holding the lock").is_empty()
     }
 
+    /// Returns whether this node leads a failure domain and its lease on that has not run out.
+    pub fn holds_lease(&self, cx: &NodeContext, domain: &str) -> bool {
+        let controllers = self.0.lock().expect("no thread panics while holding the lock");
+        controllers.get(domain).is_some_and(|controller| controller.holds_lease(cx))
+    }
+
     /// Returns all controllers.
     pub fn all(&self) -> Vec<Arc<DomainController>> {
         self.0.lock().expect("no thread panics while holding the lock").values().cloned().collect()
@@ -192,6 +198,11 @@
             .active_token(cx.lease_clock.now())
     }
 
+    fn holds_lease(&self, cx: &NodeContext) -> bool {
+        let leadership = self.leadership.lock().expect("no thread panics while holding the lock");
+        leadership.is_held() && !leadership.has_lapsed(cx.lease_clock.now())
+    }
+
     /// Records a renewal of the lease; `sent_at` is the time of its request by the lease clock.
     pub fn record_renewal(&self, sent_at: Instant) {
         self.leadership
--- a/savoryport/src/node/exchange.rs
+++ b/savoryport/src/node/exchange.rs
@@ -11,6 +11,7 @@
 use super::peer_server::{add_loads, record_prompts};
 use super::quarantine::{crash_exchange, merge_crashes};
 use super::rpc::{Role, SyncPosition, SyncRequest};
+use super::server_limits::{limits_since, merge_limits};
 use super::sync::fetch_config;
 use super::view::DomainLeader;
 
@@ -23,6 +24,8 @@
     sync: SyncPosition,
     /// The digest of the crashes that it knew of.
     crash_digest: Option<u64>,
+    /// The revision up to which it was told of the limits of servers.
+    told_limits: u64,
 }
 
 /// Exchanges loads and changes with the leaders of other failure domains while this node leads one.
@@ -70,6 +73,7 @@
     let now = cx.now();
     let mut loads: HashMap<Name, ServerLoad> = cx.peer_reports.other_loads(None, false, now);
     add_loads(&mut loads, cx.routing.lock().loads.own());
+    let (revision, limits) = limits_since(cx, have.told_limits);
     let req = SyncRequest {
         member: cx.member.clone(),
         role: Role::Holder,
@@ -85,6 +89,7 @@
         copies: cx.copies_in_domain(domain),
         prompts: Vec::new(),
         crashes: crash_exchange(cx, have.crash_digest),
+        limits,
     };
     let exchange = async {
         let connection = cx.peers.get_or_connect(leader.peers).await?;
@@ -117,5 +122,8 @@
         }
     });
     let crash_digest = Some(merge_crashes(cx, &reply.crashes));
-    Some(Position { sync: reply.position, crash_digest })
+    merge_limits(cx, &reply.limits);
+    let is_same_tenure = have.sync.tenure == reply.position.tenure;
+    let told_limits = if is_same_tenure { revision } else { 0 };
+    Some(Position { sync: reply.position, crash_digest, told_limits })
 }
--- a/savoryport/src/node/fleet.rs
+++ b/savoryport/src/node/fleet.rs
@@ -289,6 +289,7 @@
             members: self.members_revision,
             config: self.version(),
             prompts: have.prompts,
+            limits: have.limits,
         };
     }
 
--- a/savoryport/src/node/metrics.rs
+++ b/savoryport/src/node/metrics.rs
@@ -62,6 +62,12 @@
     pub cut_events: Counter,
     /// Servers that crashed while requests of this node waited for their first events.
     pub server_crashes: Counter,
+    /// Servers that name a limit.
+    pub limited_servers: Gauge,
+    /// Changes of servers' limits that this node learned of.
+    pub limit_changes: Counter,
+    /// Permits for servers with a limit that this node was denied.
+    pub denied_permits: Counter,
     /// Parts of prompts in quarantine.
     pub quarantined_parts: Gauge,
     /// Orders sent to engines.
@@ -90,6 +96,9 @@
             resumed_streams: Counter::default(),
             cut_events: Counter::default(),
             server_crashes: Counter::default(),
+            limited_servers: Gauge::default(),
+            limit_changes: Counter::default(),
+            denied_permits: Counter::default(),
             quarantined_parts: Gauge::default(),
             orders: Family::default(),
             model_moves: Counter::default(),
@@ -147,6 +156,21 @@
             "Streams whose server ended them inside an event",
             self.cut_events.clone(),
         );
+        registry.register(
+            "limited_servers",
+            "Servers that name a limit",
+            self.limited_servers.clone(),
+        );
+        registry.register(
+            "limit_changes",
+            "Changes of servers' limits",
+            self.limit_changes.clone(),
+        );
+        registry.register(
+            "denied_permits",
+            "Denied permits for servers with a limit",
+            self.denied_permits.clone(),
+        );
         registry.register(
             "server_crashes",
             "Servers that crashed before they answered a request of this node",
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -30,6 +30,7 @@
 mod response;
 mod routing_state;
 pub mod rpc;
+mod server_limits;
 mod server_response;
 mod server_selection;
 pub mod settings;
--- a/savoryport/src/node/peer_server.rs
+++ b/savoryport/src/node/peer_server.rs
@@ -10,6 +10,7 @@
 use futures::StreamExt;
 use savoryport_core::Name;
 use savoryport_core::node::load::ServerLoad;
+use savoryport_core::node::server_limit::{LimitReport, Permit, PermitUse};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
@@ -22,6 +23,7 @@
     Availability, CopyUse, MAX_MESSAGE_BYTES, Peer, PromptRecord, Role, SyncPosition, SyncReply,
     SyncRequest,
 };
+use super::server_limits::{decide_permit, limits_since, merge_limits};
 
 /// How long a report of another node is used.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
@@ -211,6 +213,9 @@
             Role::Holder => cx.peer_reports.lock().prompts.shared_prefixes_since(0),
         };
         let their_digest = merge_crashes(cx, &req.crashes);
+        merge_limits(cx, &req.limits);
+        let known_limits = if req.have.tenure == cx.tenure { req.have.limits } else { 0 };
+        let (limits_revision, limits) = limits_since(cx, known_limits);
         let mut reply = SyncReply {
             position: SyncPosition::default(),
             is_holder: cx.controllers.leads(&cx.settings.failure_domain)
@@ -222,6 +227,7 @@
             loads: loads.into_iter().collect(),
             prompts,
             crashes: crash_exchange(cx, Some(their_digest)),
+            limits,
         };
         cx.fleet.update(|state| {
             if req.role == Role::Follower {
@@ -235,6 +241,7 @@
         });
         cx.fleet.read(|state| state.fill_reply(req.have, cx.tenure, domain, &mut reply));
         reply.position.prompts = prompt_count;
+        reply.position.limits = limits_revision;
         reply
     }
 
@@ -258,6 +265,15 @@
         let domain = &self.cx.settings.failure_domain;
         self.cx.controllers.request_model(&self.cx, &service, &model, domain)
     }
+
+    async fn want_permit(
+        self,
+        _: Context,
+        report: LimitReport,
+        usage: PermitUse,
+    ) -> Option<Permit> {
+        decide_permit(&self.cx, &report, usage)
+    }
 }
 
 /// Records in the prefix index the prompts that other nodes sent to servers.
--- a/savoryport/src/node/response.rs
+++ b/savoryport/src/node/response.rs
@@ -41,6 +41,8 @@
     NoAdapter,
     /// The first token is expected too late to be of use.
     Overload,
+    /// The servers that could take the request name limits, which are used up.
+    Limited,
     /// A part of the prompt crashes servers.
     Quarantined,
     /// No server ran the request.
@@ -64,6 +66,7 @@
             Self::NoModel => "no-model",
             Self::NoAdapter => "no-adapter",
             Self::Overload => "overload",
+            Self::Limited => "limited",
             Self::Quarantined => "quarantined",
             Self::NotRun => "not-run",
             Self::Broken => "broken",
@@ -80,6 +83,7 @@
             | Self::NoModel
             | Self::NoAdapter
             | Self::Overload
+            | Self::Limited
             | Self::Quarantined
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/savoryport/src/node/routing_state.rs
+++ b/savoryport/src/node/routing_state.rs
@@ -1,5 +1,5 @@
 //! The node's measurements of the servers, by which requests are routed: loads, cached prefixes,
-//! health, speeds and the retry budget.
+//! health, speeds, limits and the retry budget.
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard};
@@ -12,6 +12,7 @@
 use savoryport_core::node::quarantine::Quarantine;
 use savoryport_core::node::retry_budget::{RetryBound, RetryBudget};
 use savoryport_core::node::selection::{SelectionContext, SelectionCosts, SpeedEstimates};
+use savoryport_core::node::server_limit::{AllowanceLedger, LimitBook};
 
 use super::rpc::{CopyUse, PromptRecord};
 
@@ -35,6 +36,10 @@
     pub quarantine: Quarantine,
     /// Running averages of the speeds of models and servers.
     pub speeds: SpeedEstimates,
+    /// The request rates that servers in need name.
+    pub limits: LimitBook,
+    /// The permits that this node granted as the owner of servers' allowances.
+    pub allowances: AllowanceLedger,
     /// The retries that may still be sent.
     pub retry_budget: RetryBudget,
     /// The number of this node's requests in progress by copy.
@@ -59,6 +64,8 @@
             health: HealthTracker::default(),
             quarantine: Quarantine::default(),
             speeds: SpeedEstimates::default(),
+            limits: LimitBook::default(),
+            allowances: AllowanceLedger::default(),
             retry_budget: RetryBudget::new(bound, nodes),
             requests_by_copy: HashMap::new(),
             work_ms: HashMap::new(),
@@ -112,6 +119,8 @@
         self.prefixes.retain(&keep);
         self.health.retain(&keep);
         self.speeds.retain(&keep);
+        self.limits.retain(&keep);
+        self.allowances.retain(&keep);
         self.requests_by_copy.retain(|(server, ..), requests| *requests > 0 || keep(server));
     }
 }
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -11,6 +11,7 @@
 use savoryport_core::node::quarantine::CrashReport;
 use savoryport_core::node::registry::BackendServer;
 use savoryport_core::node::request::PrefixKeys;
+use savoryport_core::node::server_limit::{LimitReport, Permit, PermitUse};
 use serde::{Deserialize, Serialize};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context};
@@ -47,6 +48,8 @@
     pub prompts: u64,
     /// The version of the configuration in force.
     pub config: u64,
+    /// The revision of the last change of a server's limit.
+    pub limits: u64,
 }
 
 /// The position of servers with which a node asks for none, since it reads them from the store.
@@ -118,6 +121,8 @@
     pub prompts: Vec<PromptRecord>,
     /// The crashes of servers that it knows of.
     pub crashes: CrashExchange,
+    /// The limits of servers that it learned of since the last call.
+    pub limits: Vec<LimitReport>,
 }
 
 /// The nodes that callers may use, and the leaders by failure domain.
@@ -145,6 +150,8 @@
     pub prompts: Vec<PromptRecord>,
     /// The crashes of servers that the called node knows of.
     pub crashes: CrashExchange,
+    /// The limits of servers that changed.
+    pub limits: Vec<LimitReport>,
 }
 
 /// A leader's reply to a request for a model or an adapter.
@@ -170,6 +177,9 @@
     async fn want_adapter(server: Name, model: Name, adapter: Name) -> Availability;
     /// Requests the loading of a model that no server holds, and returns at once.
     async fn want_model(service: Name, model: Name) -> Availability;
+    /// Asks the owner of a server's allowance for a permit to send it a request. Returns `None` if
+    /// the called node does not own it.
+    async fn want_permit(report: LimitReport, usage: PermitUse) -> Option<Permit>;
 }
 
 /// A failed call to another node.
@@ -258,6 +268,21 @@
         reply.map_err(|err| self.call_error(&err))
     }
 
+    /// Calls [`Peer::want_permit`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call fails or times out.
+    pub async fn want_permit(
+        &self,
+        report: LimitReport,
+        usage: PermitUse,
+        timeout: Duration,
+    ) -> Result<Option<Permit>, PeerError> {
+        let reply = self.client.want_permit(call_context(timeout), report, usage).await;
+        reply.map_err(|err| self.call_error(&err))
+    }
+
     fn call_error(&self, err: &client::RpcError) -> PeerError {
         PeerError { address: self.address, problem: err.to_string() }
     }
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -3,17 +3,18 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use savoryport_core::Name;
 use savoryport_core::node::admission::{
-    AdmissionDecision, AdmissionInput, decide_admission, retry_after,
+    AdmissionDecision, AdmissionInput, decide_admission, retry_after, spare_wait,
 };
 use savoryport_core::node::deployment::EngineClass;
 use savoryport_core::node::placement::restoring_domains;
 use savoryport_core::node::registry::BackendServer;
 use savoryport_core::node::request::Generation;
 use savoryport_core::node::selection::{Candidate, Distance, SelectionRequest, choose_server};
+use savoryport_core::node::server_limit::{PermitUse, longest_wait};
 
 use super::planner::domains_with_ready_servers;
 use super::proxy::ProxyRequest;
@@ -46,6 +47,9 @@
 /// missing.
 const RETRY_AFTER: Duration = Duration::from_millis(600);
 
+/// The number of permits for servers with a limit that a request is denied before it is refused.
+const MAX_DENIED_PERMITS: u32 = 2;
+
 /// The server that a request is sent to.
 pub struct SelectedServer {
     /// The selected server.
@@ -58,13 +62,19 @@
     pub copy_from: Option<SocketAddr>,
     /// The expected time to the first token, or to the response of a server that is not an engine.
     pub expected_latency: Duration,
+    /// The permit that the request needs first, if the server names a limit.
+    pub permit: Option<PermitUse>,
 }
 
+/// A server that could take the request, with its entry in the view.
+type KnownCandidate<'a> = (Candidate<'a>, &'a Arc<BackendServer>);
+
 /// The result of one attempt to select a server.
 enum Selection {
     Selected(SelectedServer, /* needs the adapter loaded */ bool),
     NoModel,
     NoServer,
+    Limited { retry_after: Duration },
     Overload { expected_latency: Duration, retry_after: Duration },
 }
 
@@ -112,8 +122,12 @@
         }
         let mut waited_for_model = false;
         let mut servers_without_room: Vec<Name> = Vec::new();
+        let mut denied_permits = 0;
         loop {
-            match self.try_select(&servers_without_room) {
+            match self.try_select(&servers_without_room, denied_permits < MAX_DENIED_PERMITS) {
+                Selection::Selected(selected, _) if !self.acquire_permit(&selected).await => {
+                    denied_permits += 1;
+                }
                 Selection::Selected(selected, false) => return Ok(selected),
                 Selection::Selected(selected, true) => {
                     if self.load_adapter(&selected.server).await {
@@ -135,6 +149,9 @@
                     return Err(self.retry_later(RefusalCause::NoAdapter));
                 }
                 Selection::NoServer => return Err(self.retry_later(RefusalCause::NoServer)),
+                Selection::Limited { retry_after } => {
+                    return Err(Refusal::with_retry_after(RefusalCause::Limited, retry_after));
+                }
                 Selection::Overload { expected_latency, retry_after } => {
                     self.expected_latency = expected_latency;
                     return Err(Refusal::with_retry_after(RefusalCause::Overload, retry_after));
@@ -181,47 +198,128 @@
     /// or silent server only ends the request.
     pub(super) fn has_alternative(&self) -> bool {
         let has_retry = self.cx.routing.lock().retry_budget.can_retry(&self.service);
-        has_retry && matches!(self.try_select(&[]), Selection::Selected(..))
+        has_retry && matches!(self.try_select(&[], false), Selection::Selected(..))
     }
 
-    /// Selects a server among the current ones, without waiting.
-    fn try_select(&self, servers_without_room: &[Name]) -> Selection {
+    /// Selects a server among the current ones, without waiting. Servers that name a limit come
+    /// after all others, and only if `with_limited` is set.
+    fn try_select(&self, servers_without_room: &[Name], with_limited: bool) -> Selection {
         let view = self.cx.fleet.view();
         let mut candidates = self.candidates(&view);
         candidates.retain(|(candidate, _)| !servers_without_room.contains(&candidate.server.id));
-        if candidates.is_empty() {
-            let holds = |server: &&Arc<BackendServer>| {
-                self.head
-                    .generation
-                    .as_ref()
-                    .is_some_and(|generation| server.holds(&generation.model))
-            };
-            let mut ready = self.ready_servers(&view);
-            return match &self.head.generation {
-                Some(_) if ready.any(|server| holds(&server)) => Selection::NoServer,
-                Some(_) => Selection::NoModel,
-                None => Selection::NoServer,
-            };
+        let (limited, open): (Vec<_>, Vec<_>) = {
+            let routing = self.cx.routing.lock();
+            let is_limited = |server: &BackendServer| routing.limits.limit_of(server).is_some();
+            candidates.into_iter().partition(|(candidate, _)| is_limited(candidate.server))
+        };
+        if with_limited && let Some(selected) = self.select_probe(&view, &limited) {
+            return selected;
         }
-        let now = self.cx.now();
-        let routing = self.cx.routing.lock();
-        let context = routing.selection_context(now);
-        let request = self.selection_request();
-        let options = candidates.iter().map(|(candidate, _)| *candidate);
-        let Some(choice) = choose_server(options, &request, &context) else {
-            return Selection::NoServer;
+        let selection = match open.is_empty() {
+            true => self.explain_no_candidates(&view),
+            false => self.select_among(&open, None),
         };
+        if limited.is_empty() || matches!(selection, Selection::Selected(..)) {
+            return selection;
+        }
+        match (&selection, self.select_limited(&limited, with_limited)) {
+            // What is queued at the other servers says more of the time to return.
+            (Selection::Overload { .. }, Selection::Limited { .. }) => selection,
+            // Another server may soon have room.
+            (Selection::NoServer, Selection::Limited { .. })
+                if self.holders(&view).count() > limited.len() =>
+            {
+                selection
+            }
+            (_, limited) => limited,
+        }
+    }
+
+    fn explain_no_candidates(&self, view: &FleetView) -> Selection {
+        match &self.head.generation {
+            Some(_) if self.holders(view).next().is_none() => Selection::NoModel,
+            _ => Selection::NoServer,
+        }
+    }
+
+    /// Returns the ready servers that hold the model; all of the service if no model is asked for.
+    fn holders<'a>(&'a self, view: &'a FleetView) -> impl Iterator<Item = &'a Arc<BackendServer>> {
+        let model = self.head.generation.as_ref().map(|generation| &generation.model);
+        self.ready_servers(view).filter(move |server| model.is_none_or(|model| server.holds(model)))
+    }
+
+    /// Selects a server only to find out whether its limit is still in force, if that is due.
+    fn select_probe(&self, view: &FleetView, limited: &[KnownCandidate<'_>]) -> Option<Selection> {
+        let (now, nodes) = (self.cx.now(), view.members.len() as u32);
+        let due = {
+            let routing = self.cx.routing.lock();
+            limited
+                .iter()
+                .find(|(candidate, _)| {
+                    candidate.adapter_orders == 0
+                        && routing.limits.is_probe_due(candidate.server, nodes, now)
+                })
+                .copied()
+        };
+        match self.select_among(&[due?], Some(PermitUse::Probe)) {
+            selected @ Selection::Selected(..) => Some(selected),
+            _ => None,
+        }
+    }
+
+    /// Selects one of the servers that name a limit, unless this node knows that there is no permit.
+    fn select_limited(&self, limited: &[KnownCandidate<'_>], may_ask: bool) -> Selection {
+        let now = self.cx.now();
+        let longest = self.longest_wait(&self.admission_input(Duration::ZERO, now));
+        let mut denied: Option<Duration> = None;
+        let mut free = Vec::new();
+        for known in limited {
+            match self.cx.routing.lock().limits.denied_for(known.0.server, longest, now) {
+                Some(wait) => denied = Some(denied.map_or(wait, |least| least.min(wait))),
+                None => free.push(*known),
+            }
+        }
+        if free.is_empty() || !may_ask {
+            let wait = retry_after(denied.unwrap_or(RETRY_AFTER), self.cx.random_unit());
+            return Selection::Limited { retry_after: wait };
+        }
+        self.select_among(&free, Some(PermitUse::Request { max_wait_ms: 0 }))
+    }
+
+    /// Returns how long the request may wait for a permit.
+    fn longest_wait(&self, input: &AdmissionInput) -> Duration {
+        longest_wait(self.route.rank, spare_wait(input))
+    }
+
+    fn admission_input(&self, expected_latency: Duration, now: Instant) -> AdmissionInput {
         // The limits on waiting apply to the first event. A caller that has received part of a
         // stream waits for the rest.
         let has_started = self.time_to_first_token.is_some();
-        let input = AdmissionInput {
+        AdmissionInput {
             rank: self.route.rank,
-            expected_latency: choice.expected_latency,
+            expected_latency,
             elapsed: if has_started { Duration::ZERO } else { now - self.arrived_at },
             queue_time: if has_started { Duration::ZERO } else { now - self.queued_since },
             target_latency: self.route.target_latency,
             time_left: self.remaining_time(),
+        }
+    }
+
+    /// Selects one of these candidates, which need a permit if they name a limit.
+    fn select_among(
+        &self,
+        candidates: &[KnownCandidate<'_>],
+        permit: Option<PermitUse>,
+    ) -> Selection {
+        let now = self.cx.now();
+        let routing = self.cx.routing.lock();
+        let context = routing.selection_context(now);
+        let request = self.selection_request();
+        let options = candidates.iter().map(|(candidate, _)| *candidate);
+        let Some(choice) = choose_server(options, &request, &context) else {
+            return Selection::NoServer;
         };
+        let input = self.admission_input(choice.expected_latency, now);
         let priority = match decide_admission(&input, self.cx.random_unit()) {
             AdmissionDecision::Admit { priority } => priority,
             AdmissionDecision::Refuse { retry_after } => {
@@ -236,12 +334,20 @@
             .find(|(candidate, _)| candidate.server.id == choice.candidate.server.id)
             .map(|(_, server)| (*server).clone());
         let Some(server) = server else { return Selection::NoServer };
+        let wait = self.longest_wait(&input);
+        let permit = permit.map(|permit| match permit {
+            PermitUse::Request { .. } => {
+                PermitUse::Request { max_wait_ms: wait.as_millis() as u32 }
+            }
+            PermitUse::Probe => PermitUse::Probe,
+        });
         let selected = SelectedServer {
             server,
             priority: self.head.generation.as_ref().map(|_| priority),
             prefill_ms: choice.prefill_ms,
             copy_from: choice.copy_from.map(|source| source.address),
             expected_latency: choice.expected_latency,
+            permit,
         };
         Selection::Selected(selected, choice.candidate.adapter_orders > 0)
     }
@@ -253,10 +359,7 @@
         view.servers.values().filter(|server| server.service == self.service && server.is_ready())
     }
 
-    fn candidates<'a>(
-        &'a self,
-        view: &'a FleetView,
-    ) -> Vec<(Candidate<'a>, &'a Arc<BackendServer>)> {
+    fn candidates<'a>(&'a self, view: &'a FleetView) -> Vec<KnownCandidate<'a>> {
         let nodes = view.members.len().max(1) as u32;
         let service = self.deployment.services.get(&self.service);
         let limit = service.map_or(u32::MAX, |service| service.connection_limit);
--- a/savoryport/src/node/status.rs
+++ b/savoryport/src/node/status.rs
@@ -1,6 +1,7 @@
 //! The status page of a node, as JSON for operators.
 
 use savoryport_core::node::quarantine::QuarantineEntry;
+use savoryport_core::node::server_limit::RequestRate;
 use serde_json::{Value, json};
 
 use super::context::NodeContext;
@@ -29,6 +30,7 @@
                 "prefill_ms": load.prefill_ms.iter().sum::<f32>(),
                 "failure_rate": routing.health.failure_rate(&server.id),
                 "slowness": routing.speeds.slowness(&server.id),
+                "limit_per_s": routing.limits.limit_of(server).map(RequestRate::per_second),
             })
         })
         .collect();
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -7,12 +7,14 @@
 use std::time::{Duration, Instant};
 
 use savoryport_core::Name;
+use savoryport_core::node::server_limit::LimitReport;
 use tokio::sync::watch;
 
 use super::context::NodeContext;
 use super::peer_server::record_prompts;
 use super::quarantine::{crash_exchange, expire_crashes, merge_crashes};
 use super::rpc::{NO_SERVERS_WANTED, PeerError, Role, SyncPosition, SyncReply, SyncRequest};
+use super::server_limits::{limits_since, merge_limits};
 use super::store_reader::accept_config;
 use super::view::{AcceptedConfig, DomainLeader};
 
@@ -63,6 +65,8 @@
     full_reply_after: Option<Instant>,
     /// The digest of the crashes that the leader knew of.
     crash_digest: Option<u64>,
+    /// The revision up to which the leader was told of the limits of servers.
+    told_limits: u64,
     /// Since when calls have failed.
     failing_since: Option<Instant>,
     /// Whether the leader counts as lost.
@@ -81,6 +85,9 @@
     /// Advances to the position of a reply, of which the servers may not have been applied.
     fn advance(&mut self, cx: &NodeContext, position: SyncPosition, applied_servers: bool) {
         let former = std::mem::replace(&mut self.have, position);
+        if former.tenure != position.tenure {
+            self.told_limits = 0;
+        }
         if applied_servers {
             self.has_servers = true;
             return;
@@ -151,8 +158,10 @@
         *following = Following { leader: Some(leader.clone()), ..Following::default() };
     }
     let called_at = cx.now();
-    match call_leader(cx, following, &leader, applies_servers).await {
+    let (revision, limits) = limits_since(cx, following.told_limits);
+    match call_leader(cx, following, &leader, applies_servers, limits).await {
         Ok(reply) => {
+            following.told_limits = revision;
             if following.is_lost {
                 log::info!(holder = &*leader.vm; "holder regained");
             }
@@ -179,8 +188,9 @@
     following: &Following,
     leader: &DomainLeader,
     applies_servers: bool,
+    limits: Vec<LimitReport>,
 ) -> Result<SyncReply, PeerError> {
-    let mut req = follower_request(cx, following);
+    let mut req = follower_request(cx, following, limits);
     let mut call_timeout = FOLLOW_TIMEOUT;
     if !applies_servers {
         req.have.servers = NO_SERVERS_WANTED;
@@ -197,7 +207,11 @@
     tokio::time::timeout(call_timeout, exchange).await.unwrap_or_else(|_| Err(timed_out()))
 }
 
-fn follower_request(cx: &NodeContext, following: &Following) -> SyncRequest {
+fn follower_request(
+    cx: &NodeContext,
+    following: &Following,
+    limits: Vec<LimitReport>,
+) -> SyncRequest {
     let crashes = crash_exchange(cx, following.crash_digest);
     let mut routing = cx.routing.lock();
     SyncRequest {
@@ -211,6 +225,7 @@
         copies: routing.copies_in_use(),
         prompts: std::mem::take(&mut routing.new_prompts),
         crashes,
+        limits,
     }
 }
 
@@ -227,6 +242,7 @@
     cx.routing.lock().loads.set_other_nodes(reply.loads.iter().cloned().collect());
     record_prompts(cx, &reply.prompts, now);
     following.crash_digest = Some(merge_crashes(cx, &reply.crashes));
+    merge_limits(cx, &reply.limits);
     cx.fleet.update(|state| {
         if applies_servers {
             state.apply_servers(&reply);
--- a/savoryport_core/src/node/admission.rs
+++ b/savoryport_core/src/node/admission.rs
@@ -77,6 +77,11 @@
     AdmissionDecision::Admit { priority: engine_priority(input.rank, late) }
 }
 
+/// Returns how long an admitted request may wait in addition to its expected latency.
+pub fn spare_wait(input: &AdmissionInput) -> Duration {
+    max_useful_wait(input).saturating_sub(input.expected_latency)
+}
+
 /// Returns the longest useful time to the first token. Work for a caller that leaves before the
 /// first token only delays the others, and a longer queue serves as many requests, all of them
 /// late.
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -17,3 +17,4 @@
 pub mod request;
 pub mod retry_budget;
 pub mod selection;
+pub mod server_limit;
