Count copies at limited servers as the part that their limit leaves

Callers of a model whose only copy is at a limited server would go on being refused, as the planner took the copy for a whole one. A copy now counts with its server's limit over its slots, the region loads a model that only limited servers hold once more, and limited servers are given no further models unless a model is nowhere.

--- a/savoryport/src/node/planner.rs
+++ b/savoryport/src/node/planner.rs
@@ -258,6 +258,7 @@
                     adapter_requests: contents.adapter_requests(),
                     free_mb: contents.free_mb(class),
                     accepts_orders,
+                    capacity_share: cx.routing.lock().limits.capacity_share(server),
                     loaded_at: self.loaded_at.get(&server.id).unwrap_or(&no_loads),
                 })
             })
@@ -305,8 +306,11 @@
             server.service == *service && server.failure_domain == other && server.is_ready()
         });
         let mut copies = HashMap::new();
-        for model in servers.flat_map(|server| &server.models) {
-            *copies.entry(model.name.clone()).or_default() += 1;
+        for server in servers {
+            let share = cx.routing.lock().limits.capacity_share(server);
+            for model in &server.models {
+                *copies.entry(model.name.clone()).or_default() += share;
+            }
         }
         NeighbourDomain {
             demand: cx.peer_reports.demand_of(&other, cx.now()),
--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -101,6 +101,8 @@
     pub free_mb: f64,
     /// Whether the server can be given an order now.
     pub accepts_orders: bool,
+    /// The part of its capacity that the server offers, below 1 if it names a limit.
+    pub capacity_share: f64,
     /// The time at which each copy was ordered, if this node ordered it.
     pub loaded_at: &'a HashMap<Name, Instant>,
 }
@@ -147,8 +149,9 @@
     pub domain: Name,
     /// The demand of its callers by model, in servers.
     pub demand: HashMap<Name, f64>,
-    /// The number of copies on its servers, by model.
-    pub copies: HashMap<Name, usize>,
+    /// The copies on its servers by model, each with the part of its capacity that its server
+    /// offers.
+    pub copies: HashMap<Name, f64>,
 }
 
 /// A load of a model at a server, with the copies to evict first.
@@ -187,18 +190,21 @@
     models.into_iter().find_map(|(model, value)| best_move(input, &copies, model, value))
 }
 
-/// The numbers of copies by model, in this domain and in the whole region.
+/// The copies by model, in this domain and in the whole region. A copy at a server that names a limit
+/// counts as the part of its capacity that the limit leaves, so that other copies take the rest.
 #[derive(Debug, Default)]
 struct CopyCounts {
-    domain: BTreeMap<Name, usize>,
-    region: BTreeMap<Name, usize>,
+    domain: BTreeMap<Name, f64>,
+    region: BTreeMap<Name, f64>,
 }
 
 impl CopyCounts {
     fn count(input: &PlacementInput<'_>) -> Self {
         let mut copies = Self::default();
-        for model in input.servers.iter().flat_map(|server| &server.models) {
-            *copies.domain.entry(model.clone()).or_default() += 1;
+        for server in input.servers {
+            for model in &server.models {
+                *copies.domain.entry(model.clone()).or_default() += server.capacity_share;
+            }
         }
         copies.region.clone_from(&copies.domain);
         for (model, count) in input.neighbours.iter().flat_map(|neighbour| &neighbour.copies) {
@@ -207,12 +213,12 @@
         copies
     }
 
-    fn in_domain(&self, model: &str) -> usize {
-        self.domain.get(model).copied().unwrap_or(0)
+    fn in_domain(&self, model: &str) -> f64 {
+        self.domain.get(model).copied().unwrap_or(0.0)
     }
 
-    fn in_region(&self, model: &str) -> usize {
-        self.region.get(model).copied().unwrap_or(0)
+    fn in_region(&self, model: &str) -> f64 {
+        self.region.get(model).copied().unwrap_or(0.0)
     }
 }
 
@@ -254,7 +260,7 @@
     let demand = region_demand(input, model);
     let (in_domain, in_region) = (copies.in_domain(model), copies.in_region(model));
     let is_held =
-        in_domain > 0 || input.holders.get(model).is_some_and(|holders| !holders.is_empty());
+        in_domain > 0.0 || input.holders.get(model).is_some_and(|holders| !holders.is_empty());
     if !is_held {
         return match input.missing.get(model) {
             Some(MissingModel::Requested) => REQUESTED_VALUE + demand,
@@ -262,14 +268,30 @@
             None => 0.0,
         };
     }
-    let is_overloaded = in_region == 0 || demand / in_region as f64 > MAX_COPY_DEMAND;
-    if is_overloaded && in_domain < target_copies(input, model) {
-        demand / (in_region + 1) as f64
+    let is_overloaded = in_region == 0.0 || demand / in_region > MAX_COPY_DEMAND;
+    if !is_overloaded {
+        return 0.0;
+    }
+    let value = demand / (in_region + 1.0);
+    if in_domain.round() < target_copies(input, model) as f64 {
+        value
+    } else if is_only_at_limited_servers(input, in_region, model) {
+        value.max(NOT_REQUESTED_VALUE)
     } else {
         0.0
     }
 }
 
+/// Returns whether the region holds the model only at servers that name limits, and this domain is
+/// the one that loads it elsewhere. Demand that needs no copy in each domain needs one in the region.
+fn is_only_at_limited_servers(input: &PlacementInput<'_>, in_region: f64, model: &Name) -> bool {
+    let neighbours = input.neighbours.iter().map(|neighbour| &neighbour.domain);
+    let domains = neighbours.chain([input.domain]);
+    in_region > 0.0
+        && in_region < MIN_CAPACITY_SHARE
+        && restoring_domain(model, domains) == Some(input.domain)
+}
+
 fn best_move(
     input: &PlacementInput<'_>,
     copies: &CopyCounts,
@@ -297,6 +319,10 @@
         if lost_value * MIN_GAIN_FACTOR > value {
             continue;
         }
+        // A copy is worth what its server takes, unless the model is nowhere else.
+        if server.capacity_share < MIN_CAPACITY_SHARE && !is_requested {
+            continue;
+        }
         let seconds = load_time(spec, source).as_secs_f64() + drain_seconds;
         let adapter_cost = f64::from(server.adapter_requests) * BLOCKED_ADAPTER_COST_PER_SECOND;
         let cost = lost_value
@@ -310,6 +336,9 @@
     best.map(|(_, chosen)| chosen)
 }
 
+/// The part of its capacity that a server has to offer to be given another model.
+const MIN_CAPACITY_SHARE: f64 = 0.5;
+
 /// The cost of each request in flight at a copy that is evicted, in servers.
 const DRAIN_COST_PER_REQUEST: f64 = 0.01;
 
@@ -335,7 +364,7 @@
 }
 
 fn demand_per_copy(input: &PlacementInput<'_>, copies: &CopyCounts, model: &Name) -> f64 {
-    region_demand(input, model) / copies.in_region(model).max(1) as f64
+    region_demand(input, model) / copies.in_region(model).max(1.0)
 }
 
 /// Returns the copies to evict so that a model of this size fits, and their total value. The last
--- a/savoryport_core/tests/node_decisions.rs
+++ b/savoryport_core/tests/node_decisions.rs
@@ -423,6 +423,7 @@
     loaded_at: HashMap<Name, Instant>,
     used_at: BTreeMap<Name, Instant>,
     demand_is_known: bool,
+    capacity_share: HashMap<Name, f64>,
 }
 
 impl Domain {
@@ -446,6 +447,7 @@
             loaded_at: HashMap::new(),
             used_at: BTreeMap::new(),
             demand_is_known: true,
+            capacity_share: HashMap::new(),
         }
     }
 
@@ -471,6 +473,7 @@
                 adapter_requests: 0,
                 free_mb: class.memory_mb - 70_000.0 * server.models.len() as f64,
                 accepts_orders: true,
+                capacity_share: self.capacity_share.get(&server.id).copied().unwrap_or(1.0),
                 loaded_at: &self.loaded_at,
             })
             .collect();
@@ -533,7 +536,7 @@
     domain.demand.insert("m2".into(), 0.2);
     domain.neighbours = vec![NeighbourDomain {
         domain: "north".into(),
-        copies: HashMap::from([("m2".into(), 1)]),
+        copies: HashMap::from([("m2".into(), 1.0)]),
         ..NeighbourDomain::default()
     }];
     assert_eq!(domain.next(true), None);
@@ -541,6 +544,28 @@
     assert_eq!(domain.next(true), Some(("a".into(), "m2".into())));
 }
 
+#[test]
+fn a_model_that_only_a_limited_server_holds_gets_a_copy_at_another_one() {
+    let mut domain = Domain::new(&[("a", &["m0", "m2"]), ("b", &["m0", "m1"])], &["m1"]);
+    for demand in [0.01, 0.3] {
+        domain.demand.insert("m2".into(), demand);
+        domain.capacity_share.clear();
+        assert_eq!(domain.next(true), None);
+        domain.capacity_share.insert("a".into(), 0.015);
+        assert_eq!(domain.next(true), Some(("b".into(), "m2".into())));
+    }
+    domain.demand.insert("m2".into(), 0.001);
+    assert_eq!(domain.next(true), None, "the limit leaves enough");
+}
+
+#[test]
+fn a_limited_server_is_not_given_more_models() {
+    let mut domain = Domain::new(&[("a", &["m0", "m1"])], &["m2"]);
+    domain.demand.insert("m2".into(), 0.3);
+    domain.capacity_share.insert("a".into(), 0.015);
+    assert_eq!(domain.next(true), None);
+}
+
 #[test]
 fn a_copy_without_streams_is_evicted_before_one_with_streams() {
     let three = ["m0", "m1", "m4"];
