Start a new owner's permits when the former one's have run out

Waiting a second always, however, refused the first requests to a server that had just named a huge limit. The wait now counts from the time the node became leader.

--- a/savoryport/src/node/domain_controller.rs
+++ b/savoryport/src/node/domain_controller.rs
@@ -38,6 +38,7 @@
     /// The id of the store's lease that the leadership is bound to.
     pub lease: AtomicU64,
     leadership: Mutex<Leadership>,
+    led_since: Instant,
     engines: Mutex<HashMap<Name, EngineHandle>>,
     /// The state of the model placement.
     pub planner: Mutex<Planner>,
@@ -60,6 +61,12 @@
         controllers.get(domain).is_some_and(|controller| controller.holds_lease(cx))
     }
 
+    /// Returns since when this node leads a failure domain.
+    pub fn led_since(&self, domain: &str) -> Option<Instant> {
+        let controllers = self.0.lock().expect("no thread panics while holding the lock");
+        controllers.get(domain).map(|controller| controller.led_since)
+    }
+
     /// Returns all controllers.
     pub fn all(&self) -> Vec<Arc<DomainController>> {
         self.0.lock().expect("no thread panics while holding the lock").values().cloned().collect()
@@ -176,12 +183,13 @@
 
 impl DomainController {
     /// Creates the controller of a failure domain whose leadership was acquired.
-    pub fn new(domain: Name, lease: u64, leadership: Leadership) -> Self {
+    pub fn new(domain: Name, lease: u64, leadership: Leadership, now: Instant) -> Self {
         Self {
             domain,
             cancel: CancellationToken::new(),
             lease: AtomicU64::new(lease),
             leadership: Mutex::new(leadership),
+            led_since: now,
             engines: Mutex::default(),
             planner: Mutex::default(),
         }
--- a/savoryport/src/node/leadership.rs
+++ b/savoryport/src/node/leadership.rs
@@ -142,7 +142,7 @@
                 log::info!(domain = &**domain, token = revision, hand_over_ms = handover_delay.as_millis() as u64; "duty taken");
                 let controller = cx
                     .controllers
-                    .open(cx, DomainController::new(domain.clone(), lease, leadership));
+                    .open(cx, DomainController::new(domain.clone(), lease, leadership, cx.now()));
                 cx.fleet.update(|state| state.set_leader(domain, Some(leader)));
                 tokio::spawn(keep_leadership(cx.clone(), controller));
             }
--- a/savoryport/src/node/server_limits.rs
+++ b/savoryport/src/node/server_limits.rs
@@ -127,10 +127,10 @@
     if !is_owner {
         return None;
     }
-    let ownership = if cx.controllers.holds_lease(cx, domain) {
-        Ownership::Confirmed
-    } else {
-        Ownership::Unconfirmed
+    let led_since = cx.controllers.led_since(domain);
+    let ownership = Ownership {
+        is_confirmed: cx.controllers.holds_lease(cx, domain),
+        since: led_since.filter(|_| *domain == server.failure_domain),
     };
     let mut routing = cx.routing.lock();
     let Some(limit) = routing.limits.limit_of(server) else {
--- a/savoryport_core/src/node/server_limit.rs
+++ b/savoryport_core/src/node/server_limit.rs
@@ -341,11 +341,11 @@
 
 /// What an owner knows of its ownership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ownership {
-    /// No other node owns the allowance.
-    Confirmed,
-    /// Another node may have become the owner.
-    Unconfirmed,
+pub struct Ownership {
+    /// Whether no other node can have become the owner since.
+    pub is_confirmed: bool,
+    /// Since when this node owns the allowance, if it knows.
+    pub since: Option<Instant>,
 }
 
 /// Why a node asks for a permit.
@@ -414,12 +414,10 @@
         usage: PermitUse,
         now: Instant,
     ) -> Permit {
-        let interval = match ownership {
-            Ownership::Confirmed => limit.interval(),
-            Ownership::Unconfirmed => limit.interval().div_f64(UNCONFIRMED_SHARE),
-        };
+        let share = if ownership.is_confirmed { 1.0 } else { UNCONFIRMED_SHARE };
+        let interval = limit.interval().div_f64(share);
         // A former owner may have granted permits for as far ahead as requests wait.
-        let first = now + MAX_WAIT;
+        let first = ownership.since.unwrap_or(now) + MAX_WAIT;
         let allowance = self.servers.entry(server.clone()).or_insert(Allowance {
             next: first,
             next_return: first,
@@ -428,6 +426,9 @@
         let earliest = now.checked_sub(CATCH_UP_TIME).unwrap_or(now);
         // The limit may have been lower when the last permits were granted.
         allowance.next = allowance.next.clamp(earliest, now + MAX_WAIT + interval);
+        if let Some(since) = ownership.since {
+            allowance.next = allowance.next.max(since + MAX_WAIT);
+        }
         let wait = allowance.next.saturating_duration_since(now);
         let idle = now.saturating_duration_since(allowance.granted_at);
         let max_wait = match usage {
--- a/savoryport_core/tests/server_limits.rs
+++ b/savoryport_core/tests/server_limits.rs
@@ -30,6 +30,10 @@
     RequestRate::from_per_second(per_second).expect("a rate")
 }
 
+fn owned_since(since: Instant) -> Ownership {
+    Ownership { is_confirmed: true, since: Some(since) }
+}
+
 /// A replay of nodes that ask an owner for permits.
 struct Replay {
     nodes: usize,
@@ -85,10 +89,10 @@
                 }
                 Event::Asked { node, owner } => {
                     let is_replaced = self.takeover.is_some_and(|(from, _)| at >= from);
-                    let ownership = if owner == 0 && is_replaced {
-                        Ownership::Unconfirmed
-                    } else {
-                        Ownership::Confirmed
+                    let taken_over = self.takeover.map_or(Duration::ZERO, |(from, _)| from);
+                    let ownership = Ownership {
+                        is_confirmed: owner == 1 || !is_replaced,
+                        since: Some(start + if owner == 1 { taken_over } else { Duration::ZERO }),
                     };
                     let usage = PermitUse::Request { max_wait_ms: 800 };
                     let permit = ledgers[owner].request(
@@ -167,7 +171,7 @@
     let mut ask = |rank, at: Duration| {
         let max_wait_ms = longest_wait(rank, ms(8_000)).as_millis() as u32;
         let usage = PermitUse::Request { max_wait_ms };
-        ledger.request(&"s".into(), rate(2.0), Ownership::Confirmed, usage, now + at)
+        ledger.request(&"s".into(), rate(2.0), owned_since(now), usage, now + at)
     };
     assert_eq!(ask(0, ms(0)), Permit::Granted { wait: ms(1_000) });
     assert!(matches!(ask(2, ms(500)), Permit::Denied(_)));
@@ -179,7 +183,7 @@
     let (mut ledger, now) = (AllowanceLedger::default(), Instant::now());
     let usage = PermitUse::Request { max_wait_ms: 0 };
     let returns: Vec<Duration> = (0..5)
-        .map(|_| match ledger.request(&"s".into(), rate(2.0), Ownership::Confirmed, usage, now) {
+        .map(|_| match ledger.request(&"s".into(), rate(2.0), owned_since(now), usage, now) {
             Permit::Denied(denial) => denial.return_after,
             Permit::Granted { .. } => panic!("granted"),
         })
@@ -200,7 +204,7 @@
         book.is_probe_due(&limited, 8, *now) && {
             book.record_probe("s", *now);
             let permit =
-                ledger.request(&name, rate(0.5), Ownership::Confirmed, PermitUse::Probe, *now);
+                ledger.request(&name, rate(0.5), owned_since(start), PermitUse::Probe, *now);
             matches!(permit, Permit::Granted { .. })
         }
     });
