Show what goes wrong when the store comes back from an older copy

Hypotheses: a revision names a place in a history that is lost, (1) in fencing tokens, (2) in the position of the store's reader, (3) and so do the ids of leases. The stand-in goes back to a copy, with its revisions and lease ids, and counts Store-Era.

--- /dev/null
+++ b/savoryport/tests/node_restored_store.rs
@@ -0,0 +1,140 @@
+//! A store that comes back from a copy some seconds old, tested with real node processes.
+
+mod node_site;
+
+use std::time::{Duration, Instant};
+
+use node_site::{NodeSite, RequestKind};
+use rustix::process::Signal;
+use savoryport_standin::metadata::{StoreCopy, StoreMode};
+use savoryport_standin::proxy::Faults;
+use serde_json::Value;
+
+/// How long the store is away before it comes back.
+const OUTAGE: Duration = Duration::from_millis(500);
+
+/// The users' bound on the time in which a change is in force once the store is stable.
+const APPLY_TIME: Duration = Duration::from_millis(2_500);
+
+/// The adapters that requests ask for in turn, so that a leader has to give orders.
+const ADAPTERS: [&str; 6] = ["m1/a1", "m1/a2", "m1/a3", "m1/a4", "m1/a5", "m1/a6"];
+
+fn status(site: &NodeSite, node: usize) -> Value {
+    serde_json::from_str(&site.nodes[node].status()).unwrap_or_default()
+}
+
+/// Returns whether a node may send orders.
+fn may_order(site: &NodeSite, node: usize) -> bool {
+    let status = status(site, node);
+    let mut duties = status["duties"].as_array().into_iter().flatten();
+    duties.any(|duty| duty["may_order"] == true)
+}
+
+fn wait_for_leader(site: &NodeSite, nodes: &[usize]) -> usize {
+    site.wait_until("a node may send orders", |site| {
+        nodes.iter().any(|node| may_order(site, *node))
+    });
+    *nodes.iter().find(|node| may_order(site, **node)).expect("it leads")
+}
+
+/// Returns the nodes whose status page names this server.
+fn nodes_that_know(site: &NodeSite, server: &str) -> Vec<usize> {
+    (0..site.nodes.len()).filter(|node| site.nodes[*node].status().contains(server)).collect()
+}
+
+/// Takes the store away and brings it back from a copy. What the operator and the servers wrote since
+/// is written again by `write_again`.
+fn restore(site: &mut NodeSite, copy: &StoreCopy, write_again: impl FnOnce(&mut NodeSite)) {
+    site.store.set_mode(StoreMode::Silent);
+    std::thread::sleep(OUTAGE);
+    site.store.restore(copy);
+    write_again(site);
+    site.store.set_mode(StoreMode::Up);
+}
+
+fn kill_and_start(site: &mut NodeSite, node: usize) {
+    site.nodes[node].signal(Signal::KILL);
+    site.nodes[node].wait_for_exit();
+    site.nodes[node].start();
+    site.wait_until("the node is ready", |site| site.nodes[node].is_ready());
+}
+
+#[test]
+fn fencing_tokens_do_not_fall_when_the_store_goes_back() {
+    let mut site = NodeSite::start(3);
+    let former = wait_for_leader(&site, &[0, 1, 2]);
+    let copy = site.store.copy();
+    kill_and_start(&mut site, former);
+    for _ in 0..20 {
+        site.write_config();
+    }
+    site.wait_until("an order is given", |site| {
+        ADAPTERS[..3]
+            .iter()
+            .all(|adapter| site.send(0, adapter, RequestKind::Stream(adapter)).status == 200)
+    });
+    restore(&mut site, &copy, NodeSite::write_config);
+    site.wait_until("orders are given again", |site| {
+        ADAPTERS[3..]
+            .iter()
+            .all(|adapter| site.send(1, adapter, RequestKind::Stream(adapter)).status == 200)
+    });
+    for server in &site.servers {
+        let tokens: Vec<u64> = server.orders().iter().map(|order| order.fencing_token).collect();
+        assert!(tokens.is_sorted(), "{}: {tokens:?}", server.id());
+    }
+}
+
+#[test]
+fn two_nodes_do_not_lead_with_a_lease_id_that_was_given_out_again() {
+    let mut site = NodeSite::start(2);
+    let former = wait_for_leader(&site, &[0, 1]);
+    let copy = site.store.copy();
+    site.nodes[former].signal(Signal::KILL);
+    site.nodes[former].wait_for_exit();
+    let leader = wait_for_leader(&site, &[1 - former]);
+    site.nodes[former].start();
+    site.wait_until("the node is ready", |site| site.nodes[former].is_ready());
+    let cut = Faults { refuse: true, pause: true, ..Faults::default() };
+    site.nodes[leader].store_proxy.set_faults(|faults| *faults = cut);
+    restore(&mut site, &copy, |_| ());
+    wait_for_leader(&site, &[former]);
+    site.nodes[leader].store_proxy.set_faults(|faults| *faults = Faults::default());
+    let healed = Instant::now();
+    while healed.elapsed() < Duration::from_secs(4) {
+        assert!(!(may_order(&site, former) && may_order(&site, leader)), "both lead");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+#[test]
+fn changes_are_not_missed_when_the_store_goes_back() {
+    let mut site = NodeSite::start(3);
+    site.add_server("left", "orders", &[]);
+    site.wait_until("all nodes know the server", |site| nodes_that_know(site, "left").len() == 3);
+    let copy = site.store.copy();
+    for _ in 0..10 {
+        site.write_config();
+    }
+    site.wait_until("the configuration is in force", |site| {
+        (0..3).all(|node| status(site, node)["config"] == site.config_version)
+    });
+    let reached = site.store.revision();
+    restore(&mut site, &copy, |site| {
+        site.store.remove("servers/left");
+        site.add_server("joined", "orders", &[]);
+        while site.store.revision() < reached + 5 {
+            site.write_config();
+        }
+    });
+    let returned = Instant::now();
+    let is_current = |site: &NodeSite| {
+        nodes_that_know(site, "joined").len() == 3
+            && nodes_that_know(site, "left").is_empty()
+            && (0..3).all(|node| status(site, node)["config"] == site.config_version)
+    };
+    // Servers whose entries lapsed in the outage have two seconds to register again.
+    site.wait_until("all nodes know what changed", is_current);
+    let took = returned.elapsed();
+    assert!(took < APPLY_TIME + Duration::from_secs(2), "{took:?}");
+}
--- a/savoryport_standin/src/http.rs
+++ b/savoryport_standin/src/http.rs
@@ -63,9 +63,24 @@
 
 /// Sends a JSON response. Does nothing if the client has disconnected.
 pub fn respond_json(req: Request, status: u16, body: &impl Serialize) {
+    respond_json_with(req, status, &[], body);
+}
+
+/// Sends a JSON response with further headers. Does nothing if the client has disconnected.
+pub fn respond_json_with(
+    req: Request,
+    status: u16,
+    headers: &[(&str, String)],
+    body: &impl Serialize,
+) {
     let buf = serde_json::to_vec(body).expect("response bodies can be serialized");
-    let header = Header::from_bytes("content-type", "application/json").expect("plain ASCII");
-    let _ = req.respond(Response::from_data(buf).with_status_code(status).with_header(header));
+    let json_type = [("content-type", "application/json".to_owned())];
+    let mut response = Response::from_data(buf).with_status_code(status);
+    for (name, value) in json_type.iter().chain(headers) {
+        let header = Header::from_bytes(*name, value.as_bytes()).expect("plain ASCII");
+        response = response.with_header(header);
+    }
+    let _ = req.respond(response);
 }
 
 /// Rejects a request before it runs, as a draining server does.
--- a/savoryport_standin/src/metadata.rs
+++ b/savoryport_standin/src/metadata.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 use tiny_http::{Method, Request};
 
-use crate::http::{HttpServer, drop_response, read_body, respond_json};
+use crate::http::{HttpServer, drop_response, read_body, respond_json_with};
 
 /// How the store handles calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -45,6 +45,15 @@
 #[derive(Default)]
 struct State {
     mode: StoreMode,
+    /// The number of times that the store went back to a copy, plus 1.
+    era: u64,
+    contents: Contents,
+    call_count: u64,
+}
+
+/// What a copy of the store contains.
+#[derive(Debug, Clone, Default)]
+struct Contents {
     revision: u64,
     keys: BTreeMap<String, StoredValue>,
     history: Vec<HistoryEvent>,
@@ -52,9 +61,13 @@
     compacted_revision: u64,
     /// The time to live and the expiry of each lease.
     leases: HashMap<u64, (Duration, Instant)>,
-    call_count: u64,
+    lease_count: u64,
 }
 
+/// A copy of a store, to which it can go back.
+#[derive(Debug, Clone)]
+pub struct StoreCopy(Contents);
+
 #[derive(Default)]
 struct Shared {
     state: Mutex<State>,
@@ -76,7 +89,12 @@
     /// Panics if it cannot listen on the address.
     pub fn start(address: &str) -> Self {
         let shared = Arc::new(Shared::default());
-        shared.lock().revision = 1;
+        let state = State {
+            era: 1,
+            contents: Contents { revision: 1, ..Contents::default() },
+            ..State::default()
+        };
+        *shared.lock() = state;
         let handler_shared = shared.clone();
         let server = HttpServer::start(address, move |req| handle(&handler_shared, req));
         Self { shared, server: Arc::new(server) }
@@ -95,28 +113,51 @@
     /// Writes a key directly, as operators and backend servers do.
     pub fn write(&self, key: &str, value: &Value) {
         let mut state = self.shared.lock();
-        state.put(key, STANDARD.encode(value.to_string()), 0);
+        state.contents.put(key, STANDARD.encode(value.to_string()), 0);
         self.shared.changed.notify_all();
     }
 
     /// Removes a key directly.
     pub fn remove(&self, key: &str) {
         let mut state = self.shared.lock();
-        state.remove(key);
+        state.contents.remove(key);
         self.shared.changed.notify_all();
     }
 
     /// Returns the keys that start with a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.shared.lock();
-        state.keys.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+        state.contents.keys.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
     }
 
     /// Discards the history, so that watches from an earlier revision fail with status 410.
     pub fn compact(&self) {
+        let contents = &mut self.shared.lock().contents;
+        contents.compacted_revision = contents.revision;
+        contents.history.clear();
+    }
+
+    /// Returns a copy of the contents.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.shared.lock().contents.clone())
+    }
+
+    /// Goes back to a copy: all that was written since is lost, and the revisions and the ids of
+    /// leases since then are given out again. The leases of the copy start anew.
+    pub fn restore(&self, copy: &StoreCopy) {
         let mut state = self.shared.lock();
-        state.compacted_revision = state.revision;
-        state.history.clear();
+        state.era += 1;
+        state.contents = copy.0.clone();
+        let now = Instant::now();
+        for (time_to_live, expires_at) in state.contents.leases.values_mut() {
+            *expires_at = now + *time_to_live;
+        }
+        self.shared.changed.notify_all();
+    }
+
+    /// Returns the present revision.
+    pub fn revision(&self) -> u64 {
+        self.shared.lock().contents.revision
     }
 
     /// Returns the number of calls received.
@@ -131,7 +172,7 @@
     }
 }
 
-impl State {
+impl Contents {
     fn put(&mut self, key: &str, value: String, lease: u64) {
         self.revision += 1;
         let created_revision =
@@ -195,16 +236,19 @@
     let mode = {
         let mut state = shared.lock();
         state.call_count += 1;
-        state.expire_leases(Instant::now());
+        state.contents.expire_leases(Instant::now());
         state.mode
     };
+    let era = |era: u64| [("Store-Era", era.to_string())];
     let body: Value = serde_json::from_slice(&read_body(&mut req)).unwrap_or_default();
     let url = req.url().to_owned();
     let (path, query) = url.split_once('?').unwrap_or((&url, ""));
     let query: HashMap<&str, &str> =
         query.split('&').filter_map(|pair| pair.split_once('=')).collect();
     match mode {
-        StoreMode::Busy => return respond_json(req, 503, &json!({})),
+        StoreMode::Busy => {
+            return respond_json_with(req, 503, &era(shared.lock().era), &json!({}));
+        }
         StoreMode::Silent => return drop_response(req),
         StoreMode::Up | StoreMode::DropsResponses => {}
     }
@@ -219,7 +263,7 @@
         },
         (Method::Delete, path) => match parse_lease(path, "/savoryport/kv-lease-end/") {
             Some(lease) => {
-                let existed = shared.lock().end_lease(lease);
+                let existed = shared.lock().contents.end_lease(lease);
                 shared.changed.notify_all();
                 (if existed { 200 } else { 404 }, json!({}))
             }
@@ -230,7 +274,7 @@
     if mode == StoreMode::DropsResponses && *req.method() != Method::Get {
         return drop_response(req);
     }
-    respond_json(req, status, &response);
+    respond_json_with(req, status, &era(shared.lock().era), &response);
 }
 
 /// Parses the lease id that follows `prefix` in a path.
@@ -243,7 +287,7 @@
     const PAGE_SIZE: usize = 5;
     let prefix = query.get("pathPrefix").copied().unwrap_or_default();
     let after = query.get("after").copied().unwrap_or_default();
-    let state = shared.lock();
+    let state = &shared.lock().contents;
     let matching = state.keys.iter().filter(|(key, _)| key.starts_with(prefix));
     let mut page: Vec<Value> = matching
         .filter(|(key, _)| key.as_str() > after)
@@ -261,11 +305,12 @@
     let deadline = Instant::now() + wait;
     let mut state = shared.lock();
     loop {
-        state.expire_leases(Instant::now());
-        if after < state.compacted_revision {
+        state.contents.expire_leases(Instant::now());
+        let contents = &state.contents;
+        if after < contents.compacted_revision || after > contents.revision {
             return (410, json!({}));
         }
-        let events: Vec<Value> = state
+        let events: Vec<Value> = contents
             .history
             .iter()
             .filter(|event| event.revision > after && event.key.starts_with(prefix))
@@ -276,7 +321,7 @@
             .collect();
         let time_left = deadline.saturating_duration_since(Instant::now());
         if !events.is_empty() || time_left.is_zero() {
-            return (200, json!({ "events": events, "at": state.revision }));
+            return (200, json!({ "events": events, "at": contents.revision }));
         }
         // Nothing signals the expiry of a lease, so the watch polls for it.
         let timeout = time_left.min(Duration::from_millis(50));
@@ -290,7 +335,7 @@
 
 fn transact(shared: &Shared, body: &Value) -> (u16, Value) {
     let elements = |name: &str| body[name].as_array().cloned().unwrap_or_default();
-    let mut state = shared.lock();
+    let state = &mut shared.lock().contents;
     for element in elements("precondition") {
         let key = element["key"].as_str().unwrap_or_default();
         let current_revision = state.keys.get(key).map_or(0, |stored| stored.revision);
@@ -317,14 +362,15 @@
 
 fn grant_lease(shared: &Shared, body: &Value) -> (u16, Value) {
     let time_to_live = Duration::from_millis(body["ttlMs"].as_u64().unwrap_or(1_000));
-    let mut state = shared.lock();
-    let lease = 70_000 + state.call_count;
+    let state = &mut shared.lock().contents;
+    state.lease_count += 1;
+    let lease = 70_000 + state.lease_count;
     state.leases.insert(lease, (time_to_live, Instant::now() + time_to_live));
     (200, json!({ "lease": lease, "ttlMs": time_to_live.as_millis() as u64 }))
 }
 
 fn renew_lease(shared: &Shared, lease: u64) -> (u16, Value) {
-    let mut state = shared.lock();
+    let state = &mut shared.lock().contents;
     match state.leases.get_mut(&lease) {
         Some((time_to_live, expires_at)) => {
             *expires_at = Instant::now() + *time_to_live;
