Count the store's eras in fencing tokens

Engines got orders of one leader with a token that was lower than before: the token is the revision of the leader's key, and a store that comes back from an older copy gives out lower revisions. A revision now has the era of the answer that told it, and the token puts the era before the number.

--- a/savoryport/src/node/leadership.rs
+++ b/savoryport/src/node/leadership.rs
@@ -138,8 +138,9 @@
                 };
                 self.led_before.insert(domain.clone());
                 let mut leadership = Leadership::new(time_to_live);
-                leadership.on_acquired(revision, sent_at, cx.lease_clock.now(), handover_delay);
-                log::info!(domain = &**domain, token = revision, hand_over_ms = handover_delay.as_millis() as u64; "duty taken");
+                let token = revision.fencing_token();
+                leadership.on_acquired(token, sent_at, cx.lease_clock.now(), handover_delay);
+                log::info!(domain = &**domain, token = token, hand_over_ms = handover_delay.as_millis() as u64; "duty taken");
                 let controller = cx
                     .controllers
                     .open(cx, DomainController::new(domain.clone(), lease, leadership, cx.now()));
