--- a/savoryport/src/node/store_reader.rs
+++ b/savoryport/src/node/store_reader.rs
@@ -72,6 +72,11 @@
         outage
     }
 
+    /// Records that the store has come back and may lack entries of running servers.
+    pub fn record_return(&self, now: Instant) {
+        self.0.lock().expect("no thread panics while holding the lock").outage_ended = Some(now);
+    }
+
     /// Records a failed call.
     pub fn record_failure(&self, now: Instant) {
         self.0
@@ -179,8 +184,9 @@
     (MAX_RETRY_DELAY * nodes / RETRYING_NODES).clamp(MAX_RETRY_DELAY, MAX_IDLE_RETRY_DELAY)
 }
 
-/// Waits for a change of the leader of this node's failure domain; returns whether there was one. Its servers and configuration may be older for that time: a watch of all
-/// keys would end with each heartbeat of a server, at every node.
+/// Waits for a change of the leader of this node's failure domain; returns whether there was one.
+/// Its servers and configuration may be older for that time: a watch of all keys would end with each
+/// heartbeat of a server, at every node.
 async fn read_leader(cx: &NodeContext, position: &mut Position) -> Result<bool, StoreError> {
     cx.metrics.store_calls.inc();
     let key = leader_key(&cx.settings.failure_domain);
@@ -198,6 +204,16 @@
         None => {
             let listing = cx.store.list("").await?;
             record_answer(cx);
+            let former = position.leader;
+            if former != Revision::default() && former.era != listing.revision.era {
+                log::warn!(
+                    era = listing.revision.era, revision = listing.revision.number,
+                    former_era = former.era, former_revision = former.number;
+                    "store went back to a copy"
+                );
+                // Servers write the entries again that the copy lacks.
+                cx.store_health.record_return(cx.now());
+            }
             apply_listing(cx, listing)
         }
         Some(after) => {
