Tell a lease from another one with the same id after the store went back

Two nodes could send orders at once: one that was cut off while the store went back renewed its lease by an id that the store had meanwhile given to another node, and led again. A lease now has the era in which it was granted. If a renewal is answered in another one, the leader reads its key: it goes on only if the copy has the key as it was written when the leadership was acquired. A lease of another era is not ended either, which could end somebody else's.

--- a/savoryport/src/node/domain_controller.rs
+++ b/savoryport/src/node/domain_controller.rs
@@ -4,10 +4,10 @@
 //! sends them the orders to load and unload.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use savoryport_adapter::store::{Entry, Lease, Revision};
 use savoryport_core::Name;
 use savoryport_core::node::leadership::Leadership;
 use savoryport_core::node::orders::EngineContents;
@@ -35,8 +35,10 @@
     pub domain: Name,
     /// Cancelled when the leadership is lost or released.
     pub cancel: CancellationToken,
-    /// The id of the store's lease that the leadership is bound to.
-    pub lease: AtomicU64,
+    /// The store's lease that the leadership is bound to.
+    lease: Mutex<Lease>,
+    /// The revision at which the leadership was acquired.
+    acquired: Revision,
     leadership: Mutex<Leadership>,
     led_since: Instant,
     engines: Mutex<HashMap<Name, EngineHandle>>,
@@ -183,11 +185,18 @@
 
 impl DomainController {
     /// Creates the controller of a failure domain whose leadership was acquired.
-    pub fn new(domain: Name, lease: u64, leadership: Leadership, now: Instant) -> Self {
+    pub fn new(
+        domain: Name,
+        lease: Lease,
+        acquired: Revision,
+        leadership: Leadership,
+        now: Instant,
+    ) -> Self {
         Self {
             domain,
             cancel: CancellationToken::new(),
-            lease: AtomicU64::new(lease),
+            lease: Mutex::new(lease),
+            acquired,
             leadership: Mutex::new(leadership),
             led_since: now,
             engines: Mutex::default(),
@@ -219,9 +228,22 @@
             .on_renewed(sent_at);
     }
 
-    /// Returns the id of the leadership's lease.
-    pub fn lease_id(&self) -> u64 {
-        self.lease.load(Ordering::Relaxed)
+    /// Returns the leadership's lease.
+    pub fn lease(&self) -> Lease {
+        *self.lease.lock().expect("no thread panics while holding the lock")
+    }
+
+    /// Takes over the lease of a key that the store has after it went back to a copy, if the key
+    /// is still the one that was written when the leadership was acquired; returns whether it is.
+    pub fn confirm(&self, entry: &Entry, value: &[u8]) -> bool {
+        let mut lease = self.lease.lock().expect("no thread panics while holding the lock");
+        let is_ours = entry.value == value
+            && entry.revision.number == self.acquired.number
+            && entry.lease == lease.id;
+        if is_ours {
+            lease.era = entry.revision.era;
+        }
+        is_ours
     }
 
     /// Returns the handle of an engine.
--- a/savoryport/src/node/leadership.rs
+++ b/savoryport/src/node/leadership.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use savoryport_adapter::store::{CommitResult, StoreError, Transaction};
+use savoryport_adapter::store::{CommitResult, Lease, Revision, StoreError, Transaction};
 use savoryport_core::Name;
 use savoryport_core::node::leadership::Leadership;
 
@@ -119,16 +119,20 @@
             Ok(lease) => lease,
             Err(err) => return log::warn!(err:% = err; "cannot get a lease for the leadership"),
         };
-        let leader = DomainLeader { vm: cx.settings.vm.clone(), peers: cx.settings.peers_listen() };
-        let value = serde_json::to_vec(&leader).expect("plain fields serialize");
+        let leader = own_entry(cx);
         let key = leader_key(domain);
         let transaction = Transaction {
             expected: vec![(key.clone(), 0)],
-            puts: vec![(key, value, lease)],
+            puts: vec![(key, encode_entry(&leader), lease.id)],
             removes: Vec::new(),
         };
         cx.metrics.store_calls.inc();
         match cx.store.commit(&transaction).await {
+            // The lease may be somebody else's in the history that the key was written in.
+            Ok(CommitResult::Committed(revision)) if revision.era != lease.era => {
+                log::warn!(domain = &**domain; "store went back while the duty was taken");
+                withdraw(cx, domain, revision).await;
+            }
             Ok(CommitResult::Committed(revision)) => {
                 let is_first_start = cx.settings.first_start && !self.led_before.contains(domain);
                 let handover_delay = if is_first_start {
@@ -141,9 +145,10 @@
                 let token = revision.fencing_token();
                 leadership.on_acquired(token, sent_at, cx.lease_clock.now(), handover_delay);
                 log::info!(domain = &**domain, token = token, hand_over_ms = handover_delay.as_millis() as u64; "duty taken");
-                let controller = cx
-                    .controllers
-                    .open(cx, DomainController::new(domain.clone(), lease, leadership, cx.now()));
+                let controller = cx.controllers.open(
+                    cx,
+                    DomainController::new(domain.clone(), lease, revision, leadership, cx.now()),
+                );
                 cx.fleet.update(|state| state.set_leader(domain, Some(leader)));
                 tokio::spawn(keep_leadership(cx.clone(), controller));
             }
@@ -170,12 +175,19 @@
         }
         let sent_at = cx.lease_clock.now();
         cx.metrics.store_calls.inc();
-        match cx.store.renew_lease(controller.lease_id()).await {
+        match cx.store.renew_lease(controller.lease()).await {
             Ok(()) => {
                 controller.record_renewal(sent_at);
                 cx.store_health.record_answer(cx.now());
             }
             Err(StoreError::LeaseEnded) => break,
+            Err(StoreError::LeaseUnknown) => match is_in_copy(&cx, &controller).await {
+                Ok(true) => controller.record_renewal(sent_at),
+                Ok(false) => break,
+                Err(err) => {
+                    log::debug!(domain = &*controller.domain, err:% = err; "duty not confirmed");
+                }
+            },
             Err(err) => log::debug!(domain = &*controller.domain, err:% = err; "lease not renewed"),
         }
     }
@@ -190,18 +202,51 @@
     });
 }
 
+/// Returns whether the store still has the leadership after it went back to a copy. The copy may be
+/// older than the leadership, or the key and the id of its lease may be somebody else's by now.
+async fn is_in_copy(cx: &NodeContext, controller: &DomainController) -> Result<bool, StoreError> {
+    cx.metrics.store_calls.inc();
+    let entry = cx.store.get(&leader_key(&controller.domain)).await?;
+    let value = encode_entry(&own_entry(cx));
+    let is_in_copy = entry.is_some_and(|entry| controller.confirm(&entry, &value));
+    log::info!(domain = &*controller.domain, in_copy = is_in_copy; "store went back");
+    Ok(is_in_copy)
+}
+
+/// Removes the key of a leadership that was not acquired after all.
+async fn withdraw(cx: &NodeContext, domain: &Name, revision: Revision) {
+    let key = leader_key(domain);
+    let transaction = Transaction {
+        expected: vec![(key.clone(), revision.number)],
+        puts: Vec::new(),
+        removes: vec![key],
+    };
+    cx.metrics.store_calls.inc();
+    if let Err(err) = cx.store.commit(&transaction).await {
+        log::warn!(domain = &**domain, err:% = err; "duty not withdrawn");
+    }
+}
+
+fn own_entry(cx: &NodeContext) -> DomainLeader {
+    DomainLeader { vm: cx.settings.vm.clone(), peers: cx.settings.peers_listen() }
+}
+
+fn encode_entry(leader: &DomainLeader) -> Vec<u8> {
+    serde_json::to_vec(leader).expect("plain fields serialize")
+}
+
 async fn release_all(cx: &NodeContext) {
     for controller in cx.controllers.all() {
         cx.controllers.close(&controller);
         log::info!(domain = &*controller.domain; "duty given up");
-        end_lease(cx, controller.lease_id()).await;
+        end_lease(cx, controller.lease()).await;
     }
 }
 
-async fn end_lease(cx: &NodeContext, lease: u64) {
+async fn end_lease(cx: &NodeContext, lease: Lease) {
     cx.metrics.store_calls.inc();
     if let Err(err) = cx.store.end_lease(lease).await {
         // The lease then expires after its time to live.
-        log::debug!(lease = lease, err:% = err; "lease not ended");
+        log::debug!(lease = lease.id, err:% = err; "lease not ended");
     }
 }
--- a/savoryport_standin/src/metadata.rs
+++ b/savoryport_standin/src/metadata.rs
@@ -255,6 +255,7 @@
     let (status, response) = match (req.method(), path) {
         (Method::Get, "/savoryport/kv-range") => range(shared, &query),
         (Method::Get, "/savoryport/kv-watch") => watch(shared, &query),
+        (Method::Get, "/savoryport/kv-key") => get(shared, &query),
         (Method::Post, "/savoryport/kv-txn") => transact(shared, &body),
         (Method::Post, "/savoryport/kv-lease") => grant_lease(shared, &body),
         (Method::Post, path) => match parse_lease(path, "/savoryport/kv-keep/") {
@@ -298,6 +299,15 @@
     (200, json!({ "items": page, "hasMore": has_more, "at": state.revision }))
 }
 
+fn get(shared: &Shared, query: &HashMap<&str, &str>) -> (u16, Value) {
+    let key = query.get("key").copied().unwrap_or_default();
+    let contents = &shared.lock().contents;
+    match contents.keys.get(key) {
+        Some(stored) => (200, item_json(key, stored)),
+        None => (404, json!({})),
+    }
+}
+
 fn watch(shared: &Shared, query: &HashMap<&str, &str>) -> (u16, Value) {
     let prefix = query.get("pathPrefix").copied().unwrap_or_default();
     let number = |name| query.get(name).and_then(|value| value.parse().ok()).unwrap_or(0_u64);
