Do not use a server again that left before the store went back

Callers' requests would reach a server that had left, or that had said that it leaves, if the copy still lists it as ready: the node took the copy's entry for news. A listing in a new era now passes over entries of servers that left or started again meanwhile, until they write them anew, and shutting down ends only with the incarnation.

a_server_that_left_or_leaves_is_not_used_again_when_the_store_goes_back failed before (used at once) and passes.

--- a/savoryport/src/node/store_reader.rs
+++ b/savoryport/src/node/store_reader.rs
@@ -205,7 +205,8 @@
             let listing = cx.store.list("").await?;
             record_answer(cx);
             let former = position.leader;
-            if former != Revision::default() && former.era != listing.revision.era {
+            let went_back = former != Revision::default() && former.era != listing.revision.era;
+            if went_back {
                 log::warn!(
                     era = listing.revision.era, revision = listing.revision.number,
                     former_era = former.era, former_revision = former.number;
@@ -214,7 +215,7 @@
                 // Servers write the entries again that the copy lacks.
                 cx.store_health.record_return(cx.now());
             }
-            apply_listing(cx, listing)
+            apply_listing(cx, listing, went_back)
         }
         Some(after) => {
             let wait = Duration::from_millis(cx.settings.store_poll_ms);
@@ -246,14 +247,17 @@
     }
 }
 
-fn apply_listing(cx: &NodeContext, listing: Listing) -> Revision {
+/// Applies a listing; `went_back` tells whether the store has gone back to a copy since the last one.
+fn apply_listing(cx: &NodeContext, listing: Listing, went_back: bool) -> Revision {
     let recovering = cx.store_health.is_recovering(cx.now());
     cx.fleet.update(|state| {
         let servers = listing.entries.iter().filter_map(|entry| {
             let id = server_id(&entry.key)?;
             decode_server_entry(id, &entry.value).ok()
         });
-        state.registry.replace(servers.collect(), recovering, cx.now());
+        let servers = servers.filter(|server| !(went_back && state.registry.is_outdated(server)));
+        let servers = servers.collect();
+        state.registry.replace(servers, recovering, cx.now());
         let domains: Vec<Name> = state.leaders().keys().cloned().collect();
         for domain in domains {
             let key = leader_key(&domain);
--- a/savoryport/tests/node_restored_store.rs
+++ b/savoryport/tests/node_restored_store.rs
@@ -138,3 +138,36 @@
     let took = returned.elapsed();
     assert!(took < APPLY_TIME + Duration::from_secs(2), "{took:?}");
 }
+
+#[test]
+fn a_server_that_left_or_leaves_is_not_used_again_when_the_store_goes_back() {
+    let mut site = NodeSite::start(2);
+    for id in ["left", "leaves", "stays"] {
+        site.add_server(id, "orders", &[]);
+    }
+    let is_ready = |site: &NodeSite, node: usize, id: &str| {
+        let status = status(site, node);
+        let mut servers = status["servers"].as_array().into_iter().flatten();
+        servers.any(|server| server["server"] == id && server["ready"] == true)
+    };
+    let all_ready = |site: &NodeSite, id: &str| (0..2).all(|node| is_ready(site, node, id));
+    site.wait_until("the servers are known", |site| {
+        ["left", "leaves", "stays"].iter().all(|id| all_ready(site, id))
+    });
+    let copy = site.store.copy();
+    site.server("left").deregister();
+    site.server("leaves").register("draining");
+    let is_used = |site: &NodeSite, id: &str| (0..2).any(|node| is_ready(site, node, id));
+    site.wait_until("the servers leave", |site| !is_used(site, "left") && !is_used(site, "leaves"));
+    restore(&mut site, &copy, |_| ());
+    let returned = Instant::now();
+    while returned.elapsed() < Duration::from_secs(4) {
+        assert!(!is_used(&site, "left"), "a server that left is used again");
+        assert!(!is_used(&site, "leaves"), "a server that leaves is used again");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert!(all_ready(&site, "stays"));
+    // A server that writes its entry again is running.
+    site.server("left").register("ready");
+    site.wait_until("the server is used again", |site| all_ready(site, "left"));
+}
--- a/savoryport_core/src/node/registry.rs
+++ b/savoryport_core/src/node/registry.rs
@@ -1,6 +1,6 @@
 //! The backend servers, as their entries in the registry describe them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -82,12 +82,17 @@
 /// seconds after an outage of the store.
 pub const MISSING_GRACE: Duration = Duration::from_millis(2_000);
 
+/// The number of servers that left which are remembered.
+const MAX_LEFT: usize = 256;
+
 /// The servers in the registry. Entries that are lost in an outage of the store are kept for a
 /// while.
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
     servers: BTreeMap<Name, BackendServer>,
     missing_since: BTreeMap<Name, Instant>,
+    /// The last servers that left, with their incarnations.
+    left: VecDeque<(Name, u64)>,
     revision: u64,
 }
 
@@ -102,9 +107,20 @@
         &self.servers
     }
 
-    /// Inserts or replaces an entry; returns whether anything but its heartbeat changed.
-    pub fn put(&mut self, server: BackendServer) -> bool {
+    /// Inserts or replaces an entry; returns whether anything but its heartbeat changed. A server that
+    /// is shutting down does so until it starts again: an entry of the same incarnation that says
+    /// otherwise is older.
+    pub fn put(&mut self, mut server: BackendServer) -> bool {
         self.missing_since.remove(&server.id);
+        self.left
+            .retain(|(id, incarnation)| (id, incarnation) != (&server.id, &server.incarnation));
+        if let Some(known) = self.servers.get(&server.id)
+            && known.incarnation == server.incarnation
+            && !known.is_ready()
+            && server.is_ready()
+        {
+            server.state = known.state.clone();
+        }
         if self.servers.get(&server.id) == Some(&server) {
             return false;
         }
@@ -116,9 +132,21 @@
     /// Removes an entry; returns whether it was known.
     pub fn remove(&mut self, id: &str) -> bool {
         self.missing_since.remove(id);
-        let was_known = self.servers.remove(id).is_some();
-        self.revision += u64::from(was_known);
-        was_known
+        let Some(server) = self.servers.remove(id) else { return false };
+        self.revision += 1;
+        self.left.push_back((server.id, server.incarnation));
+        if self.left.len() > MAX_LEFT {
+            self.left.pop_front();
+        }
+        true
+    }
+
+    /// Returns whether this registry knows more of a server than an entry in an older copy of the
+    /// store: that it left, or started again.
+    pub fn is_outdated(&self, entry: &BackendServer) -> bool {
+        let known = self.servers.get(&entry.id);
+        known.is_some_and(|known| known.incarnation > entry.incarnation)
+            || self.left.iter().any(|left| *left == (entry.id.clone(), entry.incarnation))
     }
 
     /// Replaces the entries by a full listing. An entry that is not listed is removed at once, or
--- a/savoryport_core/tests/node_decisions.rs
+++ b/savoryport_core/tests/node_decisions.rs
@@ -17,7 +17,7 @@
     WeightSource, next_move, protected_holder, restoring_domain,
 };
 use savoryport_core::node::prefix::PrefixCacheIndex;
-use savoryport_core::node::registry::{BackendServer, Registry};
+use savoryport_core::node::registry::{BackendServer, Registry, ServerState};
 use savoryport_core::node::request::{Generation, PromptPart};
 use savoryport_core::node::retry_budget::{RetryBound, RetryBudget};
 use savoryport_core::node::selection::{
@@ -404,6 +404,24 @@
     assert_eq!(registry.servers().len(), 1);
 }
 
+#[test]
+fn a_server_that_is_shutting_down_does_not_become_ready_again_by_an_older_entry() {
+    let mut registry = Registry::default();
+    let draining = ServerState::Draining { gone_after_ms: None };
+    registry.put(BackendServer { state: draining.clone(), ..server("a", "east", &["m"]) });
+    registry.put(server("a", "east", &["m"]));
+    assert_eq!(registry.servers()["a"].state, draining);
+    let restarted = BackendServer { incarnation: 2, ..server("a", "east", &["m"]) };
+    registry.put(restarted.clone());
+    assert!(registry.servers()["a"].is_ready());
+    assert!(registry.is_outdated(&server("a", "east", &["m"])), "an entry of before the restart");
+    assert!(!registry.is_outdated(&restarted));
+    registry.remove("a");
+    assert!(registry.is_outdated(&restarted), "an entry of before it left");
+    registry.put(restarted.clone());
+    assert!(!registry.is_outdated(&restarted), "it has written its entry again");
+}
+
 #[test]
 fn an_entry_missing_from_a_listing_without_an_outage_is_removed_at_once() {
     let (mut registry, now) = (Registry::default(), Instant::now());
