Count the time of entries that lapsed in an outage from its end

Requests reached a server up to 3.8 s after it had left: a removal soon after an outage gave the entry two seconds from when the node read it, and the node looked at the time only between reads, of which one waits 1.5 s for a leader. A node that lost its domain while it was cut off even read first what it had missed after that wait. The two seconds now count from the end of the outage, the answer that ends a lease ends the outage too, nodes look with every sync, and the first read after failed calls is of all keys.

a_server_that_leaves_after_an_outage_gets_no_more_time_than_the_outage_gives failed before (3.8 s) and passes; the bound is the platform's two seconds and the time to read.

--- a/savoryport/src/node/leadership.rs
+++ b/savoryport/src/node/leadership.rs
@@ -13,7 +13,7 @@
 
 use super::context::NodeContext;
 use super::domain_controller::DomainController;
-use super::store_reader::leader_key;
+use super::store_reader::{leader_key, record_answer};
 use super::view::DomainLeader;
 
 /// Interval between checks for vacant failure domains, that is, those without a leader.
@@ -178,9 +178,12 @@
         match cx.store.renew_lease(controller.lease()).await {
             Ok(()) => {
                 controller.record_renewal(sent_at);
-                cx.store_health.record_answer(cx.now());
+                record_answer(&cx);
+            }
+            Err(StoreError::LeaseEnded) => {
+                record_answer(&cx);
+                break;
             }
-            Err(StoreError::LeaseEnded) => break,
             Err(StoreError::LeaseUnknown) => match is_in_copy(&cx, &controller).await {
                 Ok(true) => controller.record_renewal(sent_at),
                 Ok(false) => break,
--- a/savoryport/src/node/store_reader.rs
+++ b/savoryport/src/node/store_reader.rs
@@ -10,6 +10,7 @@
 use savoryport_adapter::registry::{decode_server_entry, server_id};
 use savoryport_adapter::store::{Change, Entry, Listing, Revision, StoreError};
 use savoryport_core::Name;
+use savoryport_core::node::registry::MISSING_GRACE;
 use tokio::sync::watch;
 
 use super::context::NodeContext;
@@ -41,10 +42,6 @@
 /// more, each waits longer, so that an outage is not met by more calls the more nodes there are.
 const RETRYING_NODES: u32 = 3;
 
-/// How long after an outage a removed server entry is attributed to the outage, in which the leases
-/// of live servers may have expired.
-const RECOVERY_PERIOD: Duration = Duration::from_millis(2_000);
-
 /// Tracks when the store last answered and when its last outage ended.
 #[derive(Debug, Default)]
 pub struct StoreHealth(Mutex<HealthTimes>);
@@ -100,10 +97,11 @@
         times.last_answer.is_some() && times.failing_since.is_none()
     }
 
-    /// Returns whether an outage ended recently.
-    pub fn is_recovering(&self, now: Instant) -> bool {
+    /// Returns when the last outage ended, if that is so recent that entries of running servers may
+    /// still be missing.
+    pub fn recent_outage_end(&self, now: Instant) -> Option<Instant> {
         let ended = self.0.lock().expect("no thread panics while holding the lock").outage_ended;
-        ended.is_some_and(|at| now.saturating_duration_since(at) < RECOVERY_PERIOD)
+        ended.filter(|at| now.saturating_duration_since(*at) < MISSING_GRACE)
     }
 }
 
@@ -130,7 +128,9 @@
             position.all = None;
         }
         let started = cx.now();
-        let waits_for_leader = position.all.is_some() && !cx.controllers.leads_any();
+        // After failed calls the servers may have changed too.
+        let waits_for_leader =
+            position.all.is_some() && !cx.controllers.leads_any() && failures == 0;
         let read = async {
             if waits_for_leader && read_leader(&cx, &mut position).await? {
                 return Ok(());
@@ -159,11 +159,13 @@
                 tokio::time::sleep(delay).await;
             }
         }
-        cx.fleet.update(|state| {
-            for id in state.registry.expire(cx.now()) {
-                log::info!(server = &*id; "server did not register again after the outage");
-            }
-        });
+    }
+}
+
+/// Removes the servers that have not registered again after an outage.
+pub(super) fn expire_servers(state: &mut FleetState, now: Instant) {
+    for id in state.registry.expire(now) {
+        log::info!(server = &*id; "server did not register again after the outage");
     }
 }
 
@@ -230,18 +232,19 @@
 }
 
 fn apply_changes(cx: &NodeContext, changes: Vec<Change>) {
-    let recovering = cx.store_health.is_recovering(cx.now());
+    let outage_ended = cx.store_health.recent_outage_end(cx.now());
     cx.fleet.update(|state| {
         for change in changes {
             match change {
                 Change::Put(entry) => apply_entry(state, &entry),
-                Change::Removed { key } => apply_removal(state, &key, recovering, cx.now()),
+                Change::Removed { key } => apply_removal(state, &key, outage_ended),
             }
         }
     });
 }
 
-fn record_answer(cx: &NodeContext) {
+/// Records an answer of the store.
+pub(super) fn record_answer(cx: &NodeContext) {
     if let Some(silence) = cx.store_health.record_answer(cx.now()) {
         log::info!(silent_ms = silence.as_millis() as u64; "store regained");
     }
@@ -249,7 +252,7 @@
 
 /// Applies a listing; `went_back` tells whether the store has gone back to a copy since the last one.
 fn apply_listing(cx: &NodeContext, listing: Listing, went_back: bool) -> Revision {
-    let recovering = cx.store_health.is_recovering(cx.now());
+    let outage_ended = cx.store_health.recent_outage_end(cx.now());
     cx.fleet.update(|state| {
         let servers = listing.entries.iter().filter_map(|entry| {
             let id = server_id(&entry.key)?;
@@ -257,7 +260,7 @@
         });
         let servers = servers.filter(|server| !(went_back && state.registry.is_outdated(server)));
         let servers = servers.collect();
-        state.registry.replace(servers, recovering, cx.now());
+        state.registry.replace(servers, outage_ended);
         let domains: Vec<Name> = state.leaders().keys().cloned().collect();
         for domain in domains {
             let key = leader_key(&domain);
@@ -300,10 +303,10 @@
     }
 }
 
-fn apply_removal(state: &mut FleetState, key: &str, recovering: bool, now: Instant) {
+fn apply_removal(state: &mut FleetState, key: &str, outage_ended: Option<Instant>) {
     if let Some(id) = server_id(key) {
-        if recovering {
-            state.registry.mark_missing(id, now);
+        if let Some(ended) = outage_ended {
+            state.registry.mark_missing(id, ended);
         } else if state.registry.remove(id) {
             log::info!(server = id; "server gone");
         }
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -15,7 +15,7 @@
 use super::quarantine::{crash_exchange, expire_crashes, merge_crashes};
 use super::rpc::{NO_SERVERS_WANTED, PeerError, Role, SyncPosition, SyncReply, SyncRequest};
 use super::server_limits::{limits_since, merge_limits};
-use super::store_reader::accept_config;
+use super::store_reader::{accept_config, expire_servers};
 use super::view::{AcceptedConfig, DomainLeader};
 
 /// Timeout for one call to the leader of this failure domain.
@@ -112,7 +112,10 @@
     loop {
         let applies_servers = !*read_store.borrow();
         let must_read_store = follow_once(&cx, &mut following, applies_servers).await;
-        cx.fleet.update(|state| state.expire_members(cx.now()));
+        cx.fleet.update(|state| {
+            state.expire_members(cx.now());
+            expire_servers(state, cx.now());
+        });
         if cx.now() - cleaned_at >= CLEANUP_PERIOD {
             cleaned_at = cx.now();
             let view = cx.fleet.view();
--- a/savoryport/tests/node_parts.rs
+++ b/savoryport/tests/node_parts.rs
@@ -109,12 +109,12 @@
     let at = |ms| now + Duration::from_millis(ms);
     assert_eq!(health.record_answer(at(0)), None);
     assert_eq!(health.record_answer(at(28_000)), None);
-    assert!(!health.is_recovering(at(28_000)));
+    assert_eq!(health.recent_outage_end(at(28_000)), None);
     health.record_failure(at(29_000));
     health.record_failure(at(30_000));
     assert_eq!(health.record_answer(at(31_000)), Some(Duration::from_secs(2)));
-    assert!(health.is_recovering(at(31_000)));
-    assert!(!health.is_recovering(at(33_000)));
+    assert_eq!(health.recent_outage_end(at(31_000)), Some(at(31_000)));
+    assert_eq!(health.recent_outage_end(at(33_000)), None);
 }
 
 /// Returns a prompt with the shared prefix `shared_key` and a part of its own.
--- a/savoryport/tests/node_restored_store.rs
+++ b/savoryport/tests/node_restored_store.rs
@@ -139,6 +139,34 @@
     assert!(took < APPLY_TIME + Duration::from_secs(2), "{took:?}");
 }
 
+#[test]
+fn a_server_that_leaves_after_an_outage_gets_no_more_time_than_the_outage_gives() {
+    let mut site = NodeSite::start(1);
+    for id in ["left-early", "left-late"] {
+        site.add_server(id, "orders", &[]);
+    }
+    site.wait_until("the servers are known", |site| {
+        nodes_that_know(site, "left-early").len() + nodes_that_know(site, "left-late").len() == 2
+    });
+    site.store.set_mode(StoreMode::Silent);
+    std::thread::sleep(Duration::from_secs(4));
+    site.store.set_mode(StoreMode::Up);
+    site.wait_until("the store is regained", |site| {
+        let lines = site.nodes[0].log_lines.lock().expect("no thread panics");
+        lines.iter().any(|line| line.contains("store regained"))
+    });
+    let regained = Instant::now();
+    for (id, at) in [("left-early", 500), ("left-late", 1_700)] {
+        std::thread::sleep(Duration::from_millis(at).saturating_sub(regained.elapsed()));
+        site.servers.iter().find(|server| server.id() == id).expect("it runs").deregister();
+    }
+    site.wait_until("they are gone", |site| {
+        ["left-early", "left-late"].iter().all(|id| nodes_that_know(site, id).is_empty())
+    });
+    let took = regained.elapsed();
+    assert!(took < Duration::from_millis(2_800), "gone {took:?} after the outage");
+}
+
 #[test]
 fn a_server_that_left_or_leaves_is_not_used_again_when_the_store_goes_back() {
     let mut site = NodeSite::start(2);
--- a/savoryport_core/src/node/registry.rs
+++ b/savoryport_core/src/node/registry.rs
@@ -76,7 +76,7 @@
     }
 }
 
-/// How long an entry that disappeared during an outage of the store still counts.
+/// How long after an outage of the store an entry still counts that disappeared in it.
 ///
 /// According to the platform's documentation, running servers are registered again within two
 /// seconds after an outage of the store.
@@ -90,6 +90,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
     servers: BTreeMap<Name, BackendServer>,
+    /// The entries that are missing since an outage, with its end.
     missing_since: BTreeMap<Name, Instant>,
     /// The last servers that left, with their incarnations.
     left: VecDeque<(Name, u64)>,
@@ -150,18 +151,17 @@
     }
 
     /// Replaces the entries by a full listing. An entry that is not listed is removed at once, or
-    /// after [`MISSING_GRACE`] if the listing follows an outage of the store, in which entries of
-    /// running servers may have expired.
-    pub fn replace(&mut self, listing: Vec<BackendServer>, after_outage: bool, now: Instant) {
+    /// [`MISSING_GRACE`] after the end of an outage of the store, in which entries of running servers
+    /// may have expired.
+    pub fn replace(&mut self, listing: Vec<BackendServer>, outage_ended: Option<Instant>) {
         let known_ids: Vec<Name> = self.servers.keys().cloned().collect();
         for id in known_ids {
             if listing.iter().any(|server| server.id == id) {
                 continue;
             }
-            if after_outage {
-                self.missing_since.entry(id).or_insert(now);
-            } else {
-                self.remove(&id);
+            match outage_ended {
+                Some(ended) => drop(self.missing_since.entry(id).or_insert(ended)),
+                None => drop(self.remove(&id)),
             }
         }
         for server in listing {
@@ -169,14 +169,16 @@
         }
     }
 
-    /// Marks an entry as missing whose removal may only be due to an outage of the store.
-    pub fn mark_missing(&mut self, id: &str, now: Instant) {
+    /// Marks an entry as missing whose removal may only be due to an outage of the store that ended
+    /// then.
+    pub fn mark_missing(&mut self, id: &str, outage_ended: Instant) {
         if self.servers.contains_key(id) {
-            self.missing_since.entry(id.into()).or_insert(now);
+            self.missing_since.entry(id.into()).or_insert(outage_ended);
         }
     }
 
-    /// Removes the entries that have been missing for [`MISSING_GRACE`]; returns their ids.
+    /// Removes the entries that are missing [`MISSING_GRACE`] after the end of an outage; returns
+    /// their ids.
     pub fn expire(&mut self, now: Instant) -> Vec<Name> {
         let expired: Vec<Name> = self
             .missing_since
--- a/savoryport_core/tests/node_decisions.rs
+++ b/savoryport_core/tests/node_decisions.rs
@@ -398,7 +398,7 @@
     let (mut registry, now) = (Registry::default(), Instant::now());
     registry.put(server("a", "east", &["m"]));
     registry.put(server("b", "east", &["m"]));
-    registry.replace(vec![server("a", "east", &["m"])], true, now);
+    registry.replace(vec![server("a", "east", &["m"])], Some(now));
     assert!(registry.expire(now + ms(1_900)).is_empty());
     assert_eq!(registry.expire(now + ms(2_000)), ["b".into()]);
     assert_eq!(registry.servers().len(), 1);
@@ -424,9 +424,9 @@
 
 #[test]
 fn an_entry_missing_from_a_listing_without_an_outage_is_removed_at_once() {
-    let (mut registry, now) = (Registry::default(), Instant::now());
+    let mut registry = Registry::default();
     registry.put(server("a", "east", &["m"]));
-    registry.replace(Vec::new(), false, now);
+    registry.replace(Vec::new(), None);
     assert!(registry.servers().is_empty());
 }
 
