Go on resuming a stream while its server only drips

Callers got a stream that ends early, where another server should have resumed it: 3 of 6 runs of a_stream_that_only_drips_goes_on_at_another_server beside spinning processes. The trace of one: the node sent the request to the other server (stream goes on elsewhere, one run there), and the next byte of the silent one dropped that attempt, which was the last that the route allows. Alone the other server answers between two bytes; beside load it does not. Only a complete event of the first server now ends the attempt; its bytes are kept until then.

bytes_that_complete_no_event_do_not_cancel_the_resumption_of_a_stream failed before, without load, and passes.

--- a/savoryport/src/node/event_splitter.rs
+++ b/savoryport/src/node/event_splitter.rs
@@ -12,7 +12,7 @@
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// Splits bytes into events.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
     /// The number of bytes of [`Self::buffer`] that were already searched for the end of an event.
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
@@ -41,8 +41,10 @@
 
 /// What came first while another server was asked to resume a stream.
 enum SilenceEnd {
-    /// The silent server sent something, or its body ended.
-    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// The silent server completed an event.
+    Progress,
+    /// The silent server's body ended.
+    Ended(Option<Result<Frame<Bytes>, hyper::Error>>),
     /// Another server resumes the stream.
     Switched(Box<(OpenedResponse, SelectedServer)>),
     /// No other server does.
@@ -213,12 +215,19 @@
                 Ok(frame) => frame,
                 Err(_) if self.request.remaining_time().is_zero() => return StreamEnd::TimedOut,
                 Err(_) if self.should_switch_server(opened) => {
-                    match self.resume_beside(opened).await {
-                        SilenceEnd::Frame(frame) => frame,
+                    let (meanwhile, end) = self.resume_beside(opened).await;
+                    match end {
                         SilenceEnd::Switched(next) => return StreamEnd::Switched(next),
+                        SilenceEnd::Progress => Some(Ok(Frame::data(meanwhile))),
                         SilenceEnd::NoAlternative => {
                             waiting_since = self.request.cx.now();
-                            continue;
+                            Some(Ok(Frame::data(meanwhile)))
+                        }
+                        SilenceEnd::Ended(frame) => {
+                            if let Some(end) = self.forward_data(meanwhile).await {
+                                return end;
+                            }
+                            frame
                         }
                     }
                 }
@@ -236,7 +245,9 @@
                 }
                 None => return StreamEnd::Completed,
             };
-            self.record_chunk(opened);
+            if !data.is_empty() {
+                self.record_chunk(opened);
+            }
             let last_event_id = self.last_event_id;
             if let Some(end) = self.forward_data(data).await {
                 return end;
@@ -252,12 +263,28 @@
 
     /// Asks another server to resume the stream of a silent one, to which the connection stays open
     /// until then: it may only pause, and the other one may refuse. A server that resumes a stream
-    /// runs it from its first event on, which comes with the opened response.
-    async fn resume_beside(&mut self, opened: &mut OpenedResponse) -> SilenceEnd {
+    /// runs it from its first event on, which comes with the opened response. Also returns the bytes
+    /// that the silent server sent meanwhile.
+    async fn resume_beside(&mut self, opened: &mut OpenedResponse) -> (Bytes, SilenceEnd) {
         let last_server = self.request.last_server.clone();
+        let mut splitter = self.splitter.clone();
+        let mut meanwhile = BytesMut::new();
+        // Single bytes of an event are no reason to give up a server that is about to send all of it.
+        let progress = async {
+            loop {
+                let data = match opened.body.frame().await {
+                    Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+                    end => return SilenceEnd::Ended(end),
+                };
+                meanwhile.extend_from_slice(&data);
+                if !splitter.push(&data) || splitter.next_event().is_some() {
+                    return SilenceEnd::Progress;
+                }
+            }
+        };
         let end = tokio::select! {
             biased;
-            frame = opened.body.frame() => SilenceEnd::Frame(frame),
+            end = progress => end,
             next = self.resume() => match next {
                 Some(next) => SilenceEnd::Switched(Box::new(next)),
                 None => SilenceEnd::NoAlternative,
@@ -266,7 +293,7 @@
         if !matches!(end, SilenceEnd::Switched(_)) {
             self.request.last_server = last_server;
         }
-        end
+        (meanwhile.freeze(), end)
     }
 
     fn may_resume(&self) -> bool {
@@ -325,7 +352,7 @@
         if !self.splitter.push(&data) {
             return Some(StreamEnd::Interrupted);
         }
-        let mut ready = bytes::BytesMut::new();
+        let mut ready = BytesMut::new();
         while let Some(event) = self.splitter.next_event() {
             match (event.id, self.last_event_id) {
                 (Some(id), Some(last)) if id <= last => continue,
--- a/savoryport/tests/node_bad_servers.rs
+++ b/savoryport/tests/node_bad_servers.rs
@@ -93,6 +93,23 @@
     assert_eq!(site.server("drip-a").runs_of("drip"), 1);
 }
 
+#[test]
+fn bytes_that_complete_no_event_do_not_cancel_the_resumption_of_a_stream() {
+    let mut site = NodeSite::start(1);
+    site.models.push(("m3", 0.4));
+    // The first of the two is selected, since both are idle.
+    site.add_server("drip-a", "drafts", &["m3"]);
+    site.server("drip-a").set_fault(BackendFault::Drips { interval: ms(50) });
+    // The other one takes several drips to send its first event.
+    site.add_server("slow-b", "drafts", &["m3"]);
+    site.server("slow-b").set_fault(BackendFault::Stalls { before_event: 1, pause: ms(400) });
+    site.write_config();
+    site.wait_for_servers(&["drip-a", "slow-b"]);
+    let stream = site.send(0, "drip", RequestKind::Stream("m3"));
+    assert_eq!((stream.status, stream.body), (200, Some(expected_stream("drip"))));
+    assert_eq!(site.runs_of("drip"), 2);
+}
+
 #[test]
 fn a_slow_but_sound_stream_is_not_cut() {
     let mut site = NodeSite::start(1);
