Give each run of the node tests loopback addresses of its own

Two tests of limits timed out while nodes of a soak that I had ended in the middle still ran: the log says that 127.0.0.1:7093 and 7098 were in use, and the status page of a node that never got ready was that of a node of the soak. The ports for peers and metrics were on 127.0.0.1 for all runs; they are now on the addresses that each run has for the others. With a second run beside it the tests pass.

--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -263,6 +263,7 @@
     pub fn add_node(&mut self, name: &str) {
         let store_proxy = Proxy::start("127.0.0.1:0", self.store.address());
         let (callers, directory) = (free_address(), free_address());
+        let ip_address = callers.split(':').next().expect("an IP address");
         let port = || {
             let address = free_address();
             address.rsplit_once(':').and_then(|(_, port)| port.parse::<u16>().ok())
@@ -273,7 +274,7 @@
             "vm": name, "failure_domain": self.failure_domain, "region": "east",
             "failure_domains": domains,
             "callers_listen": callers, "directory_listen": directory,
-            "readiness_listen": free_address(),
+            "readiness_listen": free_address(), "ip_address": ip_address,
             "peers_port": port(), "metrics_port": port(),
             "store": store_proxy.address(), "first_start": true,
             "order_turn_ms": ORDER_TURN_MS, "min_lease_ms": 500,
@@ -421,12 +422,17 @@
 
     /// Returns the address for calls of other nodes.
     pub fn peers_address(&self) -> String {
-        format!("127.0.0.1:{}", self.settings["peers_port"])
+        self.own_address("peers_port")
     }
 
     /// Returns the address of the metrics and status pages.
     pub fn metrics_address(&self) -> String {
-        format!("127.0.0.1:{}", self.settings["metrics_port"])
+        self.own_address("metrics_port")
+    }
+
+    fn own_address(&self, port: &str) -> String {
+        let ip_address = self.settings["ip_address"].as_str().expect("a setting");
+        format!("{ip_address}:{}", self.settings[port])
     }
 
     /// Returns the most memory that the process has taken up so far, in MB.
