--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -4,8 +4,8 @@
 //! The leader of a failure domain is the one node that sends orders to the domain's engines. Stored
 //! keys, messages and logs call the leadership a duty and the leader its holder.
 //!
-//! A request passes through `callers`, `receive`, `proxy`, `server_selection`, `server_response`
-//! and `stream`. `store_reader` and `sync` maintain the node's view of the fleet, and `leadership`
+//! A request passes through `callers`, `receive`, `proxy`, `server_selection`, `model_requests`,
+//! `server_limits`, `server_response` and `stream`. `store_reader` and `sync` maintain the node's view of the fleet, and `leadership`
 //! the leases of the failure domains that it leads. `docs/DESIGN.md` explains the design.
 
 mod callers;
@@ -20,6 +20,7 @@
 mod in_flight;
 mod leadership;
 mod metrics;
+mod model_requests;
 mod peer_connections;
 mod peer_server;
 mod planner;
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -420,6 +420,18 @@
         body.unwrap_or_else(|| "no status".to_owned())
     }
 
+    /// Returns the status page as JSON, or null.
+    pub fn status_json(&self) -> Value {
+        serde_json::from_str(&self.status()).unwrap_or_default()
+    }
+
+    /// Returns what the status page says of a server, or null if the node does not know it.
+    pub fn server_status(&self, id: &str) -> Value {
+        let status = self.status_json();
+        let mut servers = status["servers"].as_array().into_iter().flatten();
+        servers.find(|server| server["server"] == id).cloned().unwrap_or_default()
+    }
+
     /// Returns the address for calls of other nodes.
     pub fn peers_address(&self) -> String {
         self.own_address("peers_port")
