Let nodes retry where there are more of them than allowed retries

Callers would get no second attempt at all on a deployment with more nodes than 0.8 of retryBudgetExtra: a node's equal part is less than one retry, and the cap at that part never let its requests add up to one. The class is that of the limits of servers in need: a bound over all nodes, shared in equal parts. Such a node now retries by half of what its own requests of the last five seconds allow. That stays within the bound without messages, since a window may see credit of the time before it. Nodes with a part of one retry or more, as on all known deployments, behave as before.

--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -167,13 +167,13 @@
     /// Returns whether the request may be sent to one more server; a retry is taken from the retry
     /// budget.
     pub(super) fn reserve_attempt(&self) -> bool {
-        let attempts = self.attempted_servers.len() as u32;
+        let (attempts, now) = (self.attempted_servers.len() as u32, self.cx.now());
         let mut routing = self.cx.routing.lock();
         if attempts == 0 {
-            routing.retry_budget.on_request(&self.service);
+            routing.retry_budget.on_request(&self.service, now);
             return true;
         }
-        attempts < self.route.max_attempts && routing.retry_budget.try_take(&self.service)
+        attempts < self.route.max_attempts && routing.retry_budget.try_take(&self.service, now)
     }
 
     /// Returns why the request may not be sent to another server, or `None` if it may.
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -182,7 +182,8 @@
     /// Returns whether another server would take the request now. If none would, abandoning a slow
     /// or silent server only ends the request.
     pub(super) fn has_alternative(&self) -> bool {
-        let has_retry = self.cx.routing.lock().retry_budget.can_retry(&self.service);
+        let now = self.cx.now();
+        let has_retry = self.cx.routing.lock().retry_budget.can_retry(&self.service, now);
         has_retry && matches!(self.try_select(&[], false), Selection::Selected(..))
     }
 
--- a/savoryport_core/tests/node_decisions.rs
+++ b/savoryport_core/tests/node_decisions.rs
@@ -343,7 +343,7 @@
 #[test]
 fn repeats_of_all_nodes_together_stay_within_the_bound_in_every_window() {
     let bound = RetryBound { ratio: 0.2, extra: 58.0 };
-    let service: Name = "drafts".into();
+    let (service, now): (Name, _) = ("drafts".into(), Instant::now());
     let nodes = 9;
     let mut budgets: Vec<RetryBudget> =
         (0..nodes).map(|_| RetryBudget::new(bound, nodes)).collect();
@@ -353,8 +353,8 @@
         for budget in &mut budgets {
             for _ in 0..40 {
                 requests += 1.0;
-                budget.on_request(&service);
-                while budget.try_take(&service) {
+                budget.on_request(&service, now);
+                while budget.try_take(&service, now) {
                     retries += 1.0;
                 }
             }
@@ -366,6 +366,35 @@
     }
 }
 
+#[test]
+fn more_nodes_than_allowed_retries_still_retry_within_the_bound() {
+    let bound = RetryBound { ratio: 0.2, extra: 20.0 };
+    let (service, start): (Name, _) = ("drafts".into(), Instant::now());
+    let mut budgets = vec![RetryBudget::new(bound, 200); 200];
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    // Windows with many requests, with few, and with none.
+    for (second, per_node) in (0..120_u64).map(|second| (second, [4, 1, 0][second as usize / 40])) {
+        let now = start + ms(second * 1_000);
+        let mut taken = 0.0;
+        for budget in &mut budgets {
+            (0..per_node).for_each(|_| budget.on_request(&service, now));
+            while budget.try_take(&service, now) {
+                taken += 1.0;
+            }
+        }
+        requests.push(200.0 * f64::from(per_node));
+        retries.push(taken);
+    }
+    let sum = |counts: &[f64], from: usize| counts[from..from + 10].iter().sum::<f64>();
+    for from in 10..110 {
+        let most = [from, from - 5, from - 10].map(|from| sum(&requests, from));
+        let allowed = bound.ratio * most.into_iter().fold(0.0, f64::max) + bound.extra;
+        let taken = sum(&retries, from);
+        assert!(taken <= allowed, "{taken} retries from second {from}, {allowed} allowed");
+    }
+    assert!(sum(&retries, 20) > 0.2 * bound.ratio * sum(&requests, 20), "none is allowed to retry");
+}
+
 /// The first order comes a whole hand-over time after the leadership was acquired, and the last one
 /// before the store can give the lease to another node.
 #[test]
