--- a/savoryport/tests/node_restored_store.rs
+++ b/savoryport/tests/node_restored_store.rs
@@ -176,6 +176,11 @@
     let copy = site.store.copy();
     site.server("left").deregister();
     site.server("leaves").register("draining");
+    site.write_config();
+    let has_config = |site: &NodeSite| {
+        site.nodes.iter().all(|node| node.status_json()["config"] == site.config_version)
+    };
+    site.wait_until("the configuration is in force", has_config);
     let is_used = |site: &NodeSite, id: &str| site.nodes.iter().any(|node| is_ready(node, id));
     site.wait_until("the servers leave", |site| !is_used(site, "left") && !is_used(site, "leaves"));
     restore(&mut site, &copy, |_| ());
@@ -183,6 +188,7 @@
     while returned.elapsed() < Duration::from_secs(4) {
         assert!(!is_used(&site, "left"), "a server that left is used again");
         assert!(!is_used(&site, "leaves"), "a server that leaves is used again");
+        assert!(has_config(&site), "an older configuration is in force");
         std::thread::sleep(Duration::from_millis(50));
     }
     assert!(all_ready(&site, "stays"));
