Let requests wait for a permit only while they are on time

Callers whose request waited for a limited server got their first token late: it could wait up to 1.25 times its target, and where more requests wait than the server takes, each of them waits that long. No more are served for it. A request now takes a turn only if it is then still on time, or at once.

--- a/savoryport_core/src/node/admission.rs
+++ b/savoryport_core/src/node/admission.rs
@@ -77,9 +77,11 @@
     AdmissionDecision::Admit { priority: engine_priority(input.rank, late) }
 }
 
-/// Returns how long an admitted request may wait in addition to its expected latency.
+/// Returns how long a request may wait before it is sent and still be on time. Where more requests
+/// wait for a server than it takes, those that wait longest are all late, and no more are served.
 pub fn spare_wait(input: &AdmissionInput) -> Duration {
-    max_useful_wait(input).saturating_sub(input.expected_latency)
+    let until_late = input.target_latency.saturating_sub(input.elapsed);
+    until_late.min(max_useful_wait(input)).saturating_sub(input.expected_latency)
 }
 
 /// Returns the longest useful time to the first token. Work for a caller that leaves before the
--- a/savoryport_core/tests/server_limits.rs
+++ b/savoryport_core/tests/server_limits.rs
@@ -11,6 +11,7 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use savoryport_core::Name;
+use savoryport_core::node::admission::{AdmissionInput, spare_wait};
 use savoryport_core::node::server_limit::{
     AllowanceLedger, Denial, LimitBook, LimitChange, LimitReport, NamedLimit, Ownership, Permit,
     PermitUse, RequestRate, longest_wait, owning_domain,
@@ -178,6 +179,24 @@
     assert_eq!(ask(0, ms(500)), Permit::Granted { wait: ms(1_000) });
 }
 
+#[test]
+fn requests_that_wait_for_a_limited_server_are_still_on_time() {
+    let ask = |elapsed, expected| {
+        let input = AdmissionInput {
+            rank: 0,
+            expected_latency: ms(expected),
+            elapsed: ms(elapsed),
+            queue_time: ms(elapsed),
+            target_latency: ms(800),
+            time_left: ms(5_000),
+        };
+        spare_wait(&input)
+    };
+    assert_eq!(ask(0, 100), ms(700));
+    assert_eq!(ask(500, 100), ms(200));
+    assert_eq!(ask(900, 50), Duration::ZERO, "a late one takes only what is free");
+}
+
 #[test]
 fn refused_callers_return_no_faster_than_the_server_takes_requests() {
     let (mut ledger, now) = (AllowanceLedger::default(), Instant::now());
