--- a/savoryport/src/node/exchange.rs
+++ b/savoryport/src/node/exchange.rs
@@ -24,8 +24,8 @@
     sync: SyncPosition,
     /// The digest of the crashes that it knew of.
     crash_digest: Option<u64>,
-    /// The revision up to which it was told of the limits of servers.
-    told_limits: u64,
+    /// The revision up to which it knows what this node learned of limits.
+    sent_limits: u64,
 }
 
 /// Exchanges loads and changes with the leaders of other failure domains while this node leads one.
@@ -73,7 +73,7 @@
     let now = cx.now();
     let mut loads: HashMap<Name, ServerLoad> = cx.peer_reports.other_loads(None, false, now);
     add_loads(&mut loads, cx.routing.lock().loads.own());
-    let (revision, limits) = limits_since(cx, have.told_limits);
+    let (revision, limits) = limits_since(cx, have.sent_limits);
     let req = SyncRequest {
         member: cx.member.clone(),
         role: Role::Holder,
@@ -124,6 +124,6 @@
     let crash_digest = Some(merge_crashes(cx, &reply.crashes));
     merge_limits(cx, &reply.limits);
     let is_same_tenure = have.sync.tenure == reply.position.tenure;
-    let told_limits = if is_same_tenure { revision } else { 0 };
-    Some(Position { sync: reply.position, crash_digest, told_limits })
+    let sent_limits = if is_same_tenure { revision } else { 0 };
+    Some(Position { sync: reply.position, crash_digest, sent_limits })
 }
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -65,8 +65,8 @@
     full_reply_after: Option<Instant>,
     /// The digest of the crashes that the leader knew of.
     crash_digest: Option<u64>,
-    /// The revision up to which the leader was told of the limits of servers.
-    told_limits: u64,
+    /// The revision up to which the leader knows what this node learned of limits.
+    sent_limits: u64,
     /// Since when calls have failed.
     failing_since: Option<Instant>,
     /// Whether the leader counts as lost.
@@ -86,7 +86,7 @@
     fn advance(&mut self, cx: &NodeContext, position: SyncPosition, applied_servers: bool) {
         let former = std::mem::replace(&mut self.have, position);
         if former.tenure != position.tenure {
-            self.told_limits = 0;
+            self.sent_limits = 0;
         }
         if applied_servers {
             self.has_servers = true;
@@ -161,10 +161,10 @@
         *following = Following { leader: Some(leader.clone()), ..Following::default() };
     }
     let called_at = cx.now();
-    let (revision, limits) = limits_since(cx, following.told_limits);
+    let (revision, limits) = limits_since(cx, following.sent_limits);
     match call_leader(cx, following, &leader, applies_servers, limits).await {
         Ok(reply) => {
-            following.told_limits = revision;
+            following.sent_limits = revision;
             if following.is_lost {
                 log::info!(holder = &*leader.vm; "holder regained");
             }
