--- a/savoryport/src/node/store_reader.rs
+++ b/savoryport/src/node/store_reader.rs
@@ -69,7 +69,7 @@
         outage
     }
 
-    /// Records that the store has come back and may lack entries of running servers.
+    /// Records that the store was restored and may lack entries of running servers.
     pub fn record_return(&self, now: Instant) {
         self.0.lock().expect("no thread panics while holding the lock").outage_ended = Some(now);
     }
--- a/savoryport/tests/node_restored_store.rs
+++ b/savoryport/tests/node_restored_store.rs
@@ -1,4 +1,4 @@
-//! A store that comes back from a copy some seconds old, tested with real node processes.
+//! A store that is restored from a copy some seconds old, tested with real node processes.
 
 mod node_site;
 
@@ -9,7 +9,7 @@
 use savoryport_standin::metadata::{StoreCopy, StoreMode};
 use savoryport_standin::proxy::Faults;
 
-/// How long the store is away before it comes back.
+/// How long the store is away before it is restored.
 const OUTAGE: Duration = Duration::from_millis(500);
 
 /// The users' bound on the time in which a change is in force once the store is stable.
