--- a/savoryport/src/node/server_limits.rs
+++ b/savoryport/src/node/server_limits.rs
@@ -3,7 +3,7 @@
 //!
 //! `savoryport_core::node::server_limit` decides which limit is in force and who may send a request.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::{HeaderMap, StatusCode};
 use savoryport_adapter::servers::{ResponseKind, named_limit};
@@ -31,7 +31,7 @@
         &self,
         selected: &SelectedServer,
         (status, headers, kind): (StatusCode, &HeaderMap, ResponseKind),
-        sent_at: std::time::Instant,
+        sent_at: Instant,
     ) {
         let named = named_limit(headers);
         // A server that took over the address, or bytes that may be nobody's answer, lift no limit.
