Answer every connection of a burst in the stand-ins' HTTP server

One cause of such calls: tiny_http 0.12 counts an idle thread for every connection that arrives before that thread has woken up, so that all but one of them wait until any connection ends. With connections that stay open this may take for ever, and the daemons open several at the same moment.

A connection that is reset at once every 20 ms bounds the wait: the thread that it ends on takes the next waiting one.

--- a/savoryport_standin/src/http.rs
+++ b/savoryport_standin/src/http.rs
@@ -1,8 +1,13 @@
 //! A small HTTP server and helpers for its handlers, which the stand-ins are built on.
 
 use std::io::{self, Read, Write};
+use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::mpsc::{self, RecvTimeoutError, Sender};
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use rustix::net::sockopt::set_socket_linger;
 
 use savoryport_platform::wire::DRAINING_HEADER;
 use serde::Serialize;
@@ -11,10 +16,20 @@
 /// The maximum length of a request body that is read, in bytes; the rest is ignored.
 const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
 
+/// The interval at which a server gets a connection that ends at once.
+///
+/// If connections arrive at the same time, tiny_http 0.12 may count one idle thread for several of
+/// them. All but one then wait until any connection ends, which may take as long as the others are
+/// kept open. These connections limit that time.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A running HTTP server, which stops accepting requests when it is dropped.
 pub struct HttpServer {
     address: String,
     server: Arc<Server>,
+    /// Dropping it ends the release thread.
+    stop_tx: Option<Sender<()>>,
+    release_thread: Option<JoinHandle<()>>,
     accept_thread: Option<JoinHandle<()>>,
 }
 
@@ -36,7 +51,20 @@
                 thread::spawn(move || handler(req));
             }
         });
-        Self { address, server, accept_thread: Some(accept_thread) }
+        let (stop_tx, stop_rx) = mpsc::channel();
+        let released_address = address.clone();
+        let release_thread = thread::spawn(move || {
+            while stop_rx.recv_timeout(RELEASE_INTERVAL) == Err(RecvTimeoutError::Timeout) {
+                open_and_reset(&released_address);
+            }
+        });
+        Self {
+            address,
+            server,
+            stop_tx: Some(stop_tx),
+            release_thread: Some(release_thread),
+            accept_thread: Some(accept_thread),
+        }
     }
 
     /// Returns the IP address and port that the server listens on.
@@ -47,13 +75,21 @@
 
 impl Drop for HttpServer {
     fn drop(&mut self) {
+        drop(self.stop_tx.take());
         self.server.unblock();
-        if let Some(thread) = self.accept_thread.take() {
+        for thread in [self.release_thread.take(), self.accept_thread.take()].into_iter().flatten()
+        {
             let _ = thread.join();
         }
     }
 }
 
+/// Opens a connection and resets it, which leaves no socket that has to wait for its end.
+fn open_and_reset(address: &str) {
+    let Ok(stream) = TcpStream::connect(address) else { return };
+    let _ = set_socket_linger(&stream, Some(Duration::ZERO));
+}
+
 /// Reads the request body, up to `MAX_BODY_BYTES`. Returns what was read if reading fails.
 pub fn read_body(req: &mut Request) -> Vec<u8> {
     let mut buf = Vec::new();
