Answer every connection of a burst at the operators' pages

A scrape or an operator's status, drain or quarantine call could wait as long as others kept their connections open.

The pages are now served with hyper, in a module of their own, one task a connection; a page is still made off the threads that serve callers, and a client has 5 s for the head of a request.

--- a/savoryport/src/control/mod.rs
+++ b/savoryport/src/control/mod.rs
@@ -26,7 +26,8 @@
 
 use self::kv_client::KvClient;
 use self::shared_state::SharedState;
-use crate::metrics::{ControlMetrics, MetricsServerError, serve_metrics};
+use crate::metrics::ControlMetrics;
+use crate::metrics_server::{MetricsServerError, serve_metrics};
 use crate::settings::Settings;
 
 /// How often the gauges are updated.
--- a/savoryport/src/entry/mod.rs
+++ b/savoryport/src/entry/mod.rs
@@ -31,7 +31,8 @@
 use tokio_util::task::TaskTracker;
 
 use self::dispatcher::DispatcherHandle;
-use crate::metrics::{EntryMetrics, MetricsServerError, serve_metrics};
+use crate::metrics::EntryMetrics;
+use crate::metrics_server::{MetricsServerError, serve_metrics};
 use crate::settings::Settings;
 
 /// An error that prevents the entry from starting.
--- a/savoryport/src/lib.rs
+++ b/savoryport/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod keys;
 pub mod logging;
 pub mod metrics;
+pub mod metrics_server;
 pub mod node;
 pub mod rpc;
 pub mod settings;
--- a/savoryport/src/metrics.rs
+++ b/savoryport/src/metrics.rs
@@ -1,9 +1,7 @@
-//! The metrics of the entry and control daemons, and the HTTP server for metrics and status, which
-//! nodes use as well.
+//! The metrics of the entry and control daemons.
 
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -13,15 +11,9 @@
 use prometheus_client::registry::Registry;
 use savoryport_core::rank::Rank;
 use savoryport_core::request_lifecycle::Outcome;
-use thiserror::Error;
-use tiny_http::{Header, Method, Response, Server};
-use tokio_util::sync::CancellationToken;
 
 use crate::rpc::{EntryStatus, RankCounts};
 
-/// The interval at which the HTTP server checks for cancellation.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(100);
-
 /// The outcome label of a first token that is sent by the request's deadline.
 pub const ON_TIME: &str = "on-time";
 
@@ -224,91 +216,3 @@
         registry
     }
 }
-
-/// An error that keeps the HTTP server for metrics from starting.
-#[derive(Debug, Error)]
-#[error("cannot listen on {address} for metrics: {problem}")]
-pub struct MetricsServerError {
-    /// The address to listen on.
-    pub address: String,
-    /// The error message of the HTTP library.
-    pub problem: String,
-}
-
-/// Serves `/metrics`, `/healthz` and `/status` over HTTP until the token is cancelled.
-///
-/// These endpoints are for operators and listen on loopback or the control address. Callers cannot
-/// reach them, so a simple server without read timeouts is sufficient.
-///
-/// # Errors
-///
-/// Returns an error if the server cannot listen on the address.
-pub fn serve_metrics(
-    address: &str,
-    registry: Registry,
-    status: impl Fn() -> serde_json::Value + Send + 'static,
-    cancel: CancellationToken,
-) -> Result<(), MetricsServerError> {
-    serve_metrics_and_commands(address, registry, status, |_| None, cancel)
-}
-
-/// Serves the pages of [`serve_metrics`], and operators' commands: `command` gets the path of a
-/// POST request, and returns the response body, or `None` if there is no such command.
-///
-/// # Errors
-///
-/// Returns an error if the server cannot listen on the address.
-pub fn serve_metrics_and_commands(
-    address: &str,
-    registry: Registry,
-    status: impl Fn() -> serde_json::Value + Send + 'static,
-    command: impl Fn(&str) -> Option<serde_json::Value> + Send + 'static,
-    cancel: CancellationToken,
-) -> Result<(), MetricsServerError> {
-    let server = Server::http(address).map_err(|err| MetricsServerError {
-        address: address.to_owned(),
-        problem: err.to_string(),
-    })?;
-    let registry = Arc::new(registry);
-    std::thread::spawn(move || {
-        while !cancel.is_cancelled() {
-            let Ok(Some(req)) = server.recv_timeout(STOP_POLL_INTERVAL) else { continue };
-            let (code, content_type, body) = if *req.method() == Method::Post {
-                command_response(command(req.url()))
-            } else {
-                response_for(req.url(), &registry, &status)
-            };
-            let header =
-                Header::from_bytes("content-type", content_type).expect("content types are ASCII");
-            let response = Response::from_string(body).with_status_code(code).with_header(header);
-            let _ = req.respond(response);
-        }
-    });
-    Ok(())
-}
-
-/// Returns the status code, content type and body for the outcome of a command.
-fn command_response(outcome: Option<serde_json::Value>) -> (u16, &'static str, String) {
-    match outcome {
-        Some(outcome) => (200, "application/json", outcome.to_string()),
-        None => (404, "text/plain", "no such command\n".to_owned()),
-    }
-}
-
-/// Returns the status code, content type and body for a request path.
-fn response_for(
-    path: &str,
-    registry: &Registry,
-    status: &impl Fn() -> serde_json::Value,
-) -> (u16, &'static str, String) {
-    match path {
-        "/metrics" => {
-            let mut text = String::new();
-            let _ = prometheus_client::encoding::text::encode(&mut text, registry);
-            (200, "application/openmetrics-text; version=1.0.0", text)
-        }
-        "/status" => (200, "application/json", status().to_string()),
-        "/healthz" => (200, "text/plain", "ok\n".to_owned()),
-        _ => (404, "text/plain", "no such page\n".to_owned()),
-    }
-}
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -115,7 +115,7 @@
     let status = move || status::status(&status_cx);
     let command_cx = cx.clone();
     let command = move |path: &str| status::run_command(&command_cx, path);
-    let served = crate::metrics::serve_metrics_and_commands(
+    let served = crate::metrics_server::serve_metrics_and_commands(
         &metrics_listen.to_string(),
         cx.metrics.registry(),
         status,
