Send a load again while an unload is in progress, without a report

A server refuses every order while it carries out an unload, which takes it about 0.05 to 0.09 s. The load that follows came after 45 ms, was always refused, and the refusal made the leader forget the server's count of orders and read a report, which lags: 0.31 s for each move that evicts a copy, and again for each further copy that it evicts. For 0.4 s after an accepted unload a refusal now leaves the count as it is, and the same order is sent again after 40 ms. Orders compare and swap, so an order with a wrong count still has no effect, and a refusal after that time makes the leader read the contents as before.

Its test fails without the change; the search of order interleavings passes.

--- a/savoryport/src/node/engine.rs
+++ b/savoryport/src/node/engine.rs
@@ -434,6 +434,10 @@
                 OrderAnswer::Accepted | OrderAnswer::AlreadyHolds => return Ok(answer),
                 OrderAnswer::Rejected => return Err(OrderError::Unknown),
                 OrderAnswer::Unanswered => {}
+                // The contents stay known while the server only has an unload to complete.
+                OrderAnswer::Conflict if self.contents().expected_orders().is_some() => {
+                    tokio::time::sleep(UNLOAD_TIME).await;
+                }
                 OrderAnswer::Conflict => tokio::time::sleep(REPORT_INTERVAL).await,
             }
         }
--- a/savoryport_core/src/node/orders.rs
+++ b/savoryport_core/src/node/orders.rs
@@ -17,6 +17,10 @@
 /// An adapter that was requested more recently than this is not evicted.
 const MIN_ADAPTER_IDLE: Duration = Duration::from_millis(300);
 
+/// For this long after a server has accepted an unload, a refused order shows no more than that the
+/// unload is still in progress. Reading the contents anew would take longer.
+const MAX_UNLOAD_TIME: Duration = Duration::from_millis(400);
+
 value! {
     /// An instruction to a server to load or unload a model or an adapter.
     pub enum Order {
@@ -125,6 +129,8 @@
     /// The number of orders that the server has accepted at least; a report with fewer is stale.
     min_accepted_orders: u64,
     busy_until: Option<Instant>,
+    /// When the last unload was accepted, if no report has shown its effect.
+    unloading_since: Option<Instant>,
     models: BTreeMap<Name, BTreeMap<Name, AdapterUse>>,
     /// The number of requests in flight, by model.
     requests: BTreeMap<Name, u32>,
@@ -173,6 +179,7 @@
         self.accepted_orders = (!report.is_busy).then_some(report.accepted_orders);
         self.min_accepted_orders = report.accepted_orders;
         self.busy_until = None;
+        self.unloading_since = None;
         true
     }
 
@@ -350,6 +357,7 @@
                 if matches!(order, Order::LoadModel(_) | Order::UnloadModel(_)) {
                     self.busy_until = Some(now + busy_for);
                 }
+                self.unloading_since = matches!(order, Order::UnloadModel(_)).then_some(now);
             }
             OrderAnswer::AlreadyHolds => {
                 // The server answers an unload that it completes at once in this way, and counts
@@ -361,10 +369,18 @@
             }
             // Sending the same order again is safe: only one of the two meets the expected count.
             OrderAnswer::Unanswered => {}
+            OrderAnswer::Conflict if self.is_unloading(now) => {}
             OrderAnswer::Conflict | OrderAnswer::Rejected => self.invalidate(),
         }
     }
 
+    /// Returns whether the server may still be carrying out an unload, and refuses orders for that
+    /// reason only.
+    fn is_unloading(&self, now: Instant) -> bool {
+        self.unloading_since
+            .is_some_and(|since| now.saturating_duration_since(since) < MAX_UNLOAD_TIME)
+    }
+
     /// Records that the server has completed its load or unload.
     pub fn clear_busy(&mut self) {
         self.busy_until = None;
--- a/savoryport_core/tests/order_search.rs
+++ b/savoryport_core/tests/order_search.rs
@@ -198,3 +198,26 @@
     assert!(!contents.apply_report(&old, now));
     assert!(contents.holds("m0"));
 }
+
+#[test]
+fn a_load_that_meets_an_unload_in_progress_is_sent_again_without_a_report() {
+    let (class, now) = (engine_class(), Instant::now());
+    let mut server = FakeServer { incarnation: 1, ..FakeServer::default() };
+    server.models.insert("m0".into(), Vec::new());
+    let mut contents = EngineContents::default();
+    assert!(contents.apply_report(&server.report(), now));
+    let unload = Order::UnloadModel("m0".into());
+    let answer = server.execute(&unload, 0);
+    contents.apply_answer(&unload, answer, Duration::ZERO, now);
+    let load = Order::LoadModel("m1".into());
+    let refused_at = now + Duration::from_millis(50);
+    contents.apply_answer(&load, server.execute(&load, 1), Duration::ZERO, refused_at);
+    assert_eq!(contents.expected_orders(), Some(1));
+    assert_eq!(contents.check(&load, &class, refused_at), Ok(()));
+    server.busy = false;
+    assert_eq!(server.execute(&load, 1), OrderAnswer::Accepted);
+    // A server that still refuses later has another count.
+    let much_later = now + Duration::from_secs(1);
+    contents.apply_answer(&load, OrderAnswer::Conflict, Duration::ZERO, much_later);
+    assert_eq!(contents.expected_orders(), None);
+}
