--- a/savoryport_standin/src/http.rs
+++ b/savoryport_standin/src/http.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use rustix::net::sockopt::set_socket_linger;
-
 use savoryport_platform::wire::DRAINING_HEADER;
 use serde::Serialize;
 use tiny_http::{Header, Request, Response, Server};
