Share the clients of a burst between the tests of the two HTTP servers

It is a module of the stand-ins now, asks as strictly as before (eight connections at once, status 200 within 1 s, all kept open until the last response; 100 and 20 bursts), and the tests are a few lines each.

--- a/savoryport_standin/src/lib.rs
+++ b/savoryport_standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! wire types but none of its logic, so that their counts are independent of it.
 
 pub mod backend;
+pub mod burst;
 pub mod engine;
 pub mod fleet;
 pub mod http;
