Show that one request crashes each server that runs it

Three plain servers that crash 40 ms into one request and are back 3 s later under new ids, that request twice a second in turn at all nodes for 16 s, 20 sound ones a second beside, each repeated once.

--- /dev/null
+++ b/savoryport/tests/node_deadly_requests.rs
@@ -0,0 +1,158 @@
+//! A request that crashes each server that runs it, and comes again at any node, tested with real
+//! node processes before the three servers of a plain service.
+
+mod node_site;
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use node_site::{CallerResponse, NodeSite, post};
+use savoryport_standin::raw_engine::{RawEngine, RawEngineFault};
+
+const SERVICE: &str = "fragile";
+
+/// How long a server is down after a crash.
+const DOWNTIME: Duration = Duration::from_secs(3);
+
+/// The users' bound on the time after the third crash in which all nodes learn of the request.
+const LEARN_TIME: Duration = Duration::from_secs(4);
+
+/// The users' bound on how often the request reaches servers later.
+const MAX_LATER_ARRIVALS: usize = 3;
+
+/// How long the request keeps coming.
+const SPELL: Duration = Duration::from_secs(16);
+
+/// Starts nodes, and three servers that crash on the request with this path.
+fn start(nodes: usize, deadly_path: &str) -> (NodeSite, Vec<RawEngine>) {
+    let mut site = NodeSite::start(nodes);
+    site.plain_services.push(SERVICE);
+    site.write_config();
+    let ids: Vec<String> = (0..3).map(|number| format!("fragile-{number}")).collect();
+    let fault = RawEngineFault::CrashesOnPath { path: deadly_path.to_owned(), downtime: DOWNTIME };
+    let servers = ids.iter().map(|id| site.start_raw_server(id, SERVICE, fault.clone())).collect();
+    site.wait_for_servers(&ids.iter().map(String::as_str).collect::<Vec<_>>());
+    site.wait_until("every node serves the service", |site| {
+        (0..nodes).all(|node| {
+            let path = format!("/{SERVICE}-lookup/ready");
+            post(&site.nodes[node].callers, "ready", &path, "").status == 200
+        })
+    });
+    (site, servers)
+}
+
+/// Posts the request to one node after another; returns the last response.
+fn send_deadly(site: &NodeSite, path: &str) -> CallerResponse {
+    let began = Instant::now();
+    let mut number = 0;
+    loop {
+        let node = &site.nodes[number % site.nodes.len()];
+        let sent_at = Instant::now();
+        let response = post(&node.callers, &format!("deadly-{number}"), path, "the deadly body");
+        if began.elapsed() >= SPELL {
+            return response;
+        }
+        number += 1;
+        std::thread::sleep(Duration::from_millis(500).saturating_sub(sent_at.elapsed()));
+    }
+}
+
+/// Posts a sound request, once more if it is not served; returns whether it is.
+fn send_sound(site: &NodeSite, kind: &str, number: usize) -> bool {
+    let path = format!("/{SERVICE}-{kind}/sound-{number}");
+    (0..2).any(|repeat| {
+        if repeat > 0 {
+            std::thread::sleep(Duration::from_millis(250));
+        }
+        let node = &site.nodes[(number + repeat) % site.nodes.len()];
+        let id = format!("sound-{number}-{repeat}");
+        post(&node.callers, &id, &path, &format!("body {number}")).status == 200
+    })
+}
+
+/// Returns how often the request reached servers after the nodes had time to learn of it.
+fn later_arrivals(servers: &[RawEngine]) -> usize {
+    let mut crashes: Vec<Instant> = servers.iter().flat_map(RawEngine::crashes).collect();
+    crashes.sort();
+    let Some(third) = crashes.get(2) else { return 0 };
+    let arrivals = servers.iter().flat_map(RawEngine::deadly_arrivals);
+    arrivals.filter(|at| *at > *third + LEARN_TIME).count()
+}
+
+fn assert_request_is_stopped(nodes: usize, kind: &str) {
+    let deadly_path = format!("/{SERVICE}-{kind}/deadly");
+    let (site, servers) = start(nodes, &deadly_path);
+    let served = Mutex::new(Vec::new());
+    let last = std::thread::scope(|scope| {
+        let deadly = scope.spawn(|| send_deadly(&site, &deadly_path));
+        let began = Instant::now();
+        for number in 0.. {
+            if began.elapsed() >= SPELL {
+                break;
+            }
+            let (site, served) = (&site, &served);
+            scope.spawn(move || {
+                let is_served = send_sound(site, kind, number);
+                served.lock().expect("no thread panics").push((began.elapsed(), is_served));
+            });
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        deadly.join().expect("the callers' thread ends")
+    });
+    let crashes: usize = servers.iter().map(|server| server.crashes().len()).sum();
+    let later = later_arrivals(&servers);
+    let served = served.into_inner().expect("no thread panics");
+    let second_half: Vec<bool> =
+        served.iter().filter(|(at, _)| *at > SPELL / 2).map(|(_, is_served)| *is_served).collect();
+    let count = second_half.iter().filter(|is_served| **is_served).count();
+    println!("{crashes} crashes, {later} later, {count} of {} sound ones", second_half.len());
+    assert!(later <= MAX_LATER_ARRIVALS, "{later} requests reached servers late");
+    assert!(crashes <= 5, "{crashes} crashes");
+    assert!(count * 10 > second_half.len() * 9, "{count} of {} served", second_half.len());
+    assert_ne!(last.status, 200);
+}
+
+#[test]
+fn idempotent_request_does_not_crash_each_server_of_a_service() {
+    assert_request_is_stopped(3, "lookup");
+}
+
+#[test]
+fn non_idempotent_request_does_not_crash_each_server_of_a_service() {
+    assert_request_is_stopped(4, "commit");
+}
+
+#[test]
+fn stream_of_which_only_its_own_part_is_deadly_does_not_crash_each_engine() {
+    const OWN_PART: &str = "dead0002";
+    let mut site = NodeSite::start(3);
+    site.models.push(("fragile", 0.4));
+    site.write_config();
+    let ids: Vec<String> = (0..4).map(|number| format!("fragile-{number}")).collect();
+    let fault = RawEngineFault::CrashesOnPart { part: OWN_PART.to_owned() };
+    let engines: Vec<RawEngine> =
+        ids.iter().map(|id| site.start_raw_engine(id, "fragile", fault.clone())).collect();
+    site.wait_for_servers(&ids.iter().map(String::as_str).collect::<Vec<_>>());
+    let send = |number: usize, name: &str, own_part: &str| {
+        let (id, path) = (format!("{name}-{number}"), format!("draft/{name}"));
+        let parts = format!("5c1e07a2:60,{own_part}:40");
+        site.send_prompt_to_path(number % 3, &id, &path, ("fragile", &parts))
+    };
+    let began = Instant::now();
+    let mut number = 0;
+    while began.elapsed() < Duration::from_secs(10) {
+        // Sound prompts clear the first part, which is shared.
+        let sound = send(number, &format!("sound-{number}"), &format!("{:x}", 0xabc_0000 + number));
+        if number > 20 {
+            assert_eq!(sound.status, 200, "sound prompt {number}");
+        }
+        let deadly = send(number, "deadly", OWN_PART);
+        assert!(deadly.status != 200 || deadly.body.is_none(), "a complete response: {deadly:?}");
+        number += 1;
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    let crashes: usize = engines.iter().map(|engine| engine.crashes().len()).sum();
+    let later = later_arrivals(&engines);
+    assert!(later <= MAX_LATER_ARRIVALS, "{later} requests reached engines late");
+    assert!(crashes <= 5, "{crashes} crashes");
+}
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -56,6 +56,9 @@
     pub config_version: u64,
     /// Models for the next configuration, with the load time of each in seconds.
     pub models: Vec<(&'static str, f64)>,
+    /// Further plain services of the next configuration. Each has routes that begin with its name:
+    /// `NAME-commit` for non-idempotent and `NAME-lookup` for idempotent requests.
+    pub plain_services: Vec<&'static str>,
     /// The timeout of all routes in the next configuration, in milliseconds.
     pub route_timeout_ms: f64,
     /// The failure domain of the nodes and servers that are started next.
@@ -109,6 +112,7 @@
             nodes: Vec::new(),
             config_version: 1,
             models: MODELS.to_vec(),
+            plain_services: Vec::new(),
             route_timeout_ms: 4_000.0,
             failure_domain: failure_domains[0],
             failure_domains: failure_domains.to_vec(),
@@ -160,7 +164,7 @@
             })
         };
         let models: Vec<_> = self.models.iter().map(model).collect();
-        let config = json!({
+        let mut config = json!({
             "version": self.config_version,
             "routes": [
                 route("commit", "/commit/", "non_idempotent", "orders"),
@@ -183,6 +187,17 @@
                 "idleTimeoutMs": 15_000,
             },
         });
+        for service in &self.plain_services {
+            for (suffix, kind) in [("commit", "non_idempotent"), ("lookup", "idempotent")] {
+                let name = format!("{service}-{suffix}");
+                let routes = config["routes"].as_array_mut().expect("a list of routes");
+                routes.push(route(&name, &format!("/{name}/"), kind, service));
+            }
+            let services = config["services"].as_array_mut().expect("a list of services");
+            services.push(json!({
+                "name": service, "healthPath": "/health", "connectionLimit": 100,
+            }));
+        }
         self.store.write("op/config", &config);
     }
 
@@ -230,6 +245,26 @@
         RawEngine::start(cfg, &self.store, 1_000 + self.starts)
     }
 
+    /// Starts a server of a plain service that takes 15 ms for a request.
+    pub fn start_raw_server(
+        &mut self,
+        id: &str,
+        service: &str,
+        fault: RawEngineFault,
+    ) -> RawEngine {
+        let cfg = RawEngineConfig {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            failure_domain: self.failure_domain.to_owned(),
+            models: Vec::new(),
+            events_per_stream: 0,
+            event_interval: Duration::from_millis(15),
+            fault,
+        };
+        self.starts += 1;
+        RawEngine::start(cfg, &self.store, 1_000 + self.starts)
+    }
+
     /// Waits until the first node knows these servers.
     pub fn wait_for_servers(&self, ids: &[&str]) {
         self.wait_until("the servers are known", |site| {
@@ -333,7 +368,18 @@
 
     /// Sends a stream request whose prompt has these parts, and no others, to a node.
     pub fn send_prompt(&self, node: usize, id: &str, model: &str, parts: &str) -> CallerResponse {
-        send_stream(&self.nodes[node].callers, "draft", id, model, parts)
+        send_stream(&self.nodes[node].callers, &format!("draft/{id}"), id, model, parts)
+    }
+
+    /// Sends a stream request with this path, which its repeats share, to a node.
+    pub fn send_prompt_to_path(
+        &self,
+        node: usize,
+        id: &str,
+        path: &str,
+        (model, parts): (&str, &str),
+    ) -> CallerResponse {
+        send_stream(&self.nodes[node].callers, path, id, model, parts)
     }
 
     /// Returns how often a request ran, summed over all servers.
@@ -492,17 +538,17 @@
             .header("X-Deadline-Ms", "4000")
             .send("pay"),
         RequestKind::Stream(model) => {
-            return send_stream(address, "draft", id, model, PROMPT_PARTS);
+            return send_stream(address, &format!("draft/{id}"), id, model, PROMPT_PARTS);
         }
         RequestKind::UnresumableStream(model) => {
-            return send_stream(address, "draft-once", id, model, PROMPT_PARTS);
+            return send_stream(address, &format!("draft-once/{id}"), id, model, PROMPT_PARTS);
         }
     })
 }
 
 fn send_stream(address: &str, path: &str, id: &str, model: &str, parts: &str) -> CallerResponse {
     let request = caller_agent()
-        .post(format!("http://{address}/{path}/{id}"))
+        .post(format!("http://{address}/{path}"))
         .header("Host", "site.example")
         .header("X-Attempt-Id", id)
         .header("X-Deadline-Ms", "8000")
@@ -513,6 +559,16 @@
     receive(request.send("draft"))
 }
 
+/// Posts a request with this path and body to the node at `address`.
+pub fn post(address: &str, id: &str, path: &str, body: &str) -> CallerResponse {
+    let request = caller_agent()
+        .post(format!("http://{address}{path}"))
+        .header("Host", "site.example")
+        .header("X-Attempt-Id", id)
+        .header("X-Deadline-Ms", "4000");
+    receive(request.send(body))
+}
+
 fn receive(result: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> CallerResponse {
     let Ok(mut res) = result else {
         return CallerResponse { status: 0, server_stamp: None, retry_after: None, body: None };
--- a/savoryport_standin/src/raw_engine.rs
+++ b/savoryport_standin/src/raw_engine.rs
@@ -1,5 +1,6 @@
-//! A stand-in for a model engine that controls its connections itself: its streams end with their
-//! connection, it can break one off without a reset, and it can crash with all of them.
+//! A stand-in for a model engine or a server of a plain service that controls its connections
+//! itself: its streams end with their connection, it can break one off without a reset, and it can
+//! crash with all of them.
 //!
 //! The HTTP library of the other stand-ins keeps connections open and frames every response.
 
@@ -26,7 +27,7 @@
     pub service: String,
     /// The failure domain of the engine.
     pub failure_domain: String,
-    /// The models that it holds.
+    /// The models that it holds; none if it is a server of a plain service.
     pub models: Vec<String>,
     /// The number of events in each stream.
     pub events_per_stream: u64,
@@ -54,17 +55,30 @@
         /// The part's id, as the request's header has it.
         part: String,
     },
+    /// Crashes a while after it began to run a request with this path, and starts again under
+    /// another id.
+    CrashesOnPath {
+        /// The path of the request.
+        path: String,
+        /// The time from a crash to the restart.
+        downtime: Duration,
+    },
 }
 
-/// The time from a crash to the restart.
+/// The time from a crash to the restart, if the fault does not name another one.
 const RESTART_TIME: Duration = Duration::from_millis(700);
 
+/// The time for which a server runs a request before it crashes on its path.
+const CRASH_DELAY: Duration = Duration::from_millis(40);
+
 #[derive(Debug, Default)]
 struct State {
+    /// The id in the registry, which differs from the configured one after some restarts.
+    id: String,
     incarnation: u64,
     runs_by_request: HashMap<String, u32>,
     accepted_orders: u64,
-    /// When a request with the part of [`RawEngineFault::CrashesOnPart`] arrived.
+    /// When a request that crashes the server arrived.
     deadly_arrivals: Vec<Instant>,
     crashes: Vec<Instant>,
     /// The end of the downtime after a crash, and whether the listener has to be replaced.
@@ -100,7 +114,7 @@
     pub fn start(cfg: RawEngineConfig, store: &MetadataStandin, incarnation: u64) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free local port");
         let address = listener.local_addr().expect("a bound socket").to_string();
-        let state = Mutex::new(State { incarnation, ..State::default() });
+        let state = Mutex::new(State { id: cfg.id.clone(), incarnation, ..State::default() });
         let shared = Arc::new(Shared { cfg, address, store: store.clone(), state });
         shared.register();
         // The thread ends with the last handle of the engine.
@@ -114,7 +128,7 @@
         self.shared.crash();
     }
 
-    /// Returns when requests with the deadly part arrived, oldest first.
+    /// Returns when requests that crash the server arrived, oldest first.
     pub fn deadly_arrivals(&self) -> Vec<Instant> {
         self.shared.lock().deadly_arrivals.clone()
     }
@@ -166,22 +180,30 @@
     /// Writes the engine's registry entry.
     fn register(&self) {
         let Self { cfg, address, .. } = self;
+        let (id, incarnation) = {
+            let state = self.lock();
+            (state.id.clone(), state.incarnation)
+        };
         let entry = json!({
             "service": cfg.service, "address": address, "zone": cfg.failure_domain, "slots": 64,
-            "state": "ready", "born": self.lock().incarnation, "models": models_json(&cfg.models),
+            "state": "ready", "born": incarnation, "models": models_json(&cfg.models),
             "sequence": 1,
         });
-        self.store.write(&format!("servers/{}", cfg.id), &entry);
+        self.store.write(&format!("servers/{id}"), &entry);
     }
 
-    /// Closes all connections and refuses new ones for [`RESTART_TIME`].
+    /// Closes all connections and refuses new ones until the restart.
     fn crash(&self) {
         let mut state = self.lock();
         if state.down_until.is_some() {
             return;
         }
         let now = Instant::now();
-        state.down_until = Some(now + RESTART_TIME);
+        let downtime = match &self.cfg.fault {
+            RawEngineFault::CrashesOnPath { downtime, .. } => *downtime,
+            _ => RESTART_TIME,
+        };
+        state.down_until = Some(now + downtime);
         state.crashes.push(now);
         drop(state);
         // The accepting thread closes the listener first, since a crash leaves none behind.
@@ -196,7 +218,17 @@
         state.down_until = None;
         state.incarnation += 1_000_000;
         state.accepted_orders = 0;
+        let former_id = match self.cfg.fault {
+            RawEngineFault::CrashesOnPath { .. } => {
+                let id = format!("{}-restart-{}", self.cfg.id, state.crashes.len());
+                Some(std::mem::replace(&mut state.id, id))
+            }
+            _ => None,
+        };
         drop(state);
+        if let Some(former_id) = former_id {
+            self.store.remove(&format!("servers/{former_id}"));
+        }
         self.register();
     }
 
@@ -238,7 +270,8 @@
     fn run_request(&self, head: &RequestHead, stream: &mut TcpStream) -> bool {
         let header = |name: &str| head.headers.get(name).map_or("", String::as_str);
         let id = header("x-attempt-id");
-        if header("x-expect-instance") != self.cfg.id {
+        let server = self.lock().id.clone();
+        if header("x-expect-instance") != server {
             return send(
                 stream,
                 "HTTP/1.1 421 x\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n",
@@ -250,15 +283,18 @@
                 let mut parts = header("x-prompt-prefix").split(',');
                 parts.any(|listed| listed.split(':').next() == Some(part))
             }
+            RawEngineFault::CrashesOnPath { path, .. } => head.path == *path,
             _ => false,
         };
         if is_deadly {
             self.lock().deadly_arrivals.push(Instant::now());
         }
+        if self.cfg.models.is_empty() {
+            return self.run_plain_request(id, &server, is_deadly, stream);
+        }
         let response_head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nX-Attempt-Id: {id}\r\n\
-             X-Server-Stamp: stamp.{}\r\n\r\n",
-            self.cfg.id
+             X-Server-Stamp: stamp.{server}\r\n\r\n"
         );
         if !send(stream, &response_head) || self.cfg.fault == RawEngineFault::EndsBeforeFirstEvent {
             return false;
@@ -286,6 +322,31 @@
         }
         false
     }
+
+    /// Runs a request of a plain service; returns whether the connection stays open.
+    fn run_plain_request(
+        &self,
+        id: &str,
+        server: &str,
+        is_deadly: bool,
+        stream: &mut TcpStream,
+    ) -> bool {
+        if is_deadly {
+            thread::sleep(CRASH_DELAY);
+            self.crash();
+            return false;
+        }
+        thread::sleep(self.cfg.event_interval);
+        let body = format!("answer to {id}");
+        let length = body.len();
+        send(
+            stream,
+            &format!(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: stamp.{server}\r\n\
+                 content-length: {length}\r\n\r\n{body}"
+            ),
+        )
+    }
 }
 
 /// Reads a request and skips its body; returns `None` if the client has closed the connection.
