Refuse a request that crashes each server that runs it

Callers of a plain service saw 502 and 503 for half a minute: one request crashed each of its three servers, came again at any node, and was sent on each time the servers were back.

Cause: crashes were recorded only for the shared parts of prompts. A plain request has none, and neither has one of an engine whose shared parts are sound, so that a crash was put down to the server, the request went on to the next one, and no other node learned of it.

A request is now known by a hash of what servers receive of each attempt (method, host, path, query, body, credentials, model and prompt) and by its caller's address. Nodes exchange which requests were at which crash. Two crashes are a proof if no other request was at both and it was sent to the second server after the first crash; three are one in any case. An answer clears a request. A proven one is refused at once with 400, before it counts in admission or the retry budget: callers repeat after 502 and 503. A quarantine ends 15 s after two crashes, 60 s after three, and twice as late after each further one, so that a sound request is served again. Nodes of a domain without a leader ask a leader of another domain.

Clearing a part of prompts settles the crashes for requests too; the test of the command showed that they stayed refused one by one.

--- a/savoryport/src/cli/arguments.rs
+++ b/savoryport/src/cli/arguments.rs
@@ -21,10 +21,10 @@
   explain NAME             show where a model or adapter is, and why
   settings check FILE.json check the daemons' settings
   drain VM                 send a VM no new work, or with --undo send it work again
-  quarantine list IP:PORT  list the parts of prompts that nodes refuse; IP:PORT is the
-                           metrics address of any savoryport-node
-  quarantine clear IP:PORT PART
-                           serve requests with a part again
+  quarantine list IP:PORT  list the requests and the parts of prompts that nodes refuse;
+                           IP:PORT is the metrics address of any savoryport-node
+  quarantine clear IP:PORT ID
+                           serve a request, or those with a part, again
 
 Options:
   --settings FILE.json     take the platform's addresses from the daemons' settings
--- a/savoryport/src/cli/quarantine.rs
+++ b/savoryport/src/cli/quarantine.rs
@@ -1,5 +1,5 @@
-//! The `quarantine` commands, which list and clear the parts of prompts that nodes refuse because
-//! servers crashed on them.
+//! The `quarantine` commands, which list and clear the requests and the parts of prompts that nodes
+//! refuse because servers crashed on them.
 
 use serde_json::Value;
 use ureq::Agent;
@@ -7,7 +7,7 @@
 use super::CliError;
 use super::arguments::Options;
 
-/// Lists the parts in quarantine as the node with this metrics address knows them.
+/// Lists what is in quarantine as the node with this metrics address knows them.
 pub(super) fn list(options: &Options, node: &str) -> Result<String, CliError> {
     let url = format!("http://{node}/status");
     let status = read_json(agent(options).get(&url).call(), node)?;
@@ -15,18 +15,26 @@
         CliError::Refused(format!("{node}: not the metrics address of a savoryport-node"))
     })?;
     if entries.is_empty() {
-        return Ok("no part is in quarantine".to_owned());
+        return Ok("no part or request is in quarantine".to_owned());
     }
     let lines = entries.iter().map(|entry| {
-        format!("{}  crashed: {}\n", join(&entry["parts"], "+"), join(&entry["servers"], ", "))
+        let servers = join(&entry["servers"], ", ");
+        match (entry["request"].as_str(), entry["ends_in_s"].as_f64()) {
+            (Some(request), Some(ends_in_s)) => {
+                format!("{request}  request, ends in {ends_in_s:.0} s, crashed: {servers}\n")
+            }
+            _ => format!("{}  crashed: {servers}\n", join(&entry["parts"], "+")),
+        }
     });
     Ok(lines.collect())
 }
 
-/// Clears a part at a node, which passes that on to all others.
+/// Clears a part or a request at a node, which passes that on to all others.
 pub(super) fn clear(options: &Options, node: &str, part: &str) -> Result<String, CliError> {
     if u64::from_str_radix(part, 16).is_err() {
-        return Err(CliError::Usage(format!("not the hexadecimal id of a part: {part}")));
+        return Err(CliError::Usage(format!(
+            "not the hexadecimal id of a part or a request: {part}"
+        )));
     }
     let url = format!("http://{node}/quarantine/clear/{part}");
     let outcome = read_json(agent(options).post(&url).send_empty(), node)?;
--- a/savoryport/src/node/callers.rs
+++ b/savoryport/src/node/callers.rs
@@ -1,7 +1,7 @@
 //! Accepts callers' connections, with limits on what an untrusted client can send.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -83,7 +83,14 @@
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let max_header_bytes = limits
         .map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes.max(MIN_BUFFER_BYTES));
-    let service = service_fn(|req| respond(cx.clone(), req));
+    let caller = match stream.peer_addr() {
+        Ok(address) => address.ip(),
+        Err(err) => {
+            log::debug!(err:% = err; "caller's connection failed");
+            return;
+        }
+    };
+    let service = service_fn(|req| respond(cx.clone(), caller, req));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
@@ -104,9 +111,10 @@
 
 async fn respond(
     cx: Arc<NodeContext>,
+    caller: IpAddr,
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
-    let mut response = proxy::serve(cx.clone(), req).await;
+    let mut response = proxy::serve(cx.clone(), caller, req).await;
     if cx.stopping.is_cancelled() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/savoryport/src/node/exchange.rs
+++ b/savoryport/src/node/exchange.rs
@@ -10,6 +10,7 @@
 use super::context::NodeContext;
 use super::peer_server::{add_loads, record_prompts};
 use super::quarantine::{crash_exchange, merge_crashes};
+use super::request_quarantine::{merge_request_crashes, request_crashes_since};
 use super::rpc::{Role, SyncPosition, SyncRequest};
 use super::server_limits::{limits_since, merge_limits};
 use super::sync::fetch_config;
@@ -26,6 +27,8 @@
     crash_digest: Option<u64>,
     /// The revision up to which it knows what this node learned of limits.
     sent_limits: u64,
+    /// The revision up to which it knows this node's crashes with the requests that were at them.
+    sent_request_crashes: u64,
 }
 
 /// Exchanges loads and changes with the leaders of other failure domains while this node leads one.
@@ -74,6 +77,7 @@
     let mut loads: HashMap<Name, ServerLoad> = cx.peer_reports.other_loads(None, false, now);
     add_loads(&mut loads, cx.routing.lock().loads.own());
     let (revision, limits) = limits_since(cx, have.sent_limits);
+    let (crashes_revision, request_crashes) = request_crashes_since(cx, have.sent_request_crashes);
     let req = SyncRequest {
         member: cx.member.clone(),
         role: Role::Holder,
@@ -90,6 +94,7 @@
         prompts: Vec::new(),
         crashes: crash_exchange(cx, have.crash_digest),
         limits,
+        request_crashes,
     };
     let exchange = async {
         let connection = cx.peers.get_or_connect(leader.peers).await?;
@@ -123,7 +128,9 @@
     });
     let crash_digest = Some(merge_crashes(cx, &reply.crashes));
     merge_limits(cx, &reply.limits);
+    merge_request_crashes(cx, &reply.request_crashes);
     let is_same_tenure = have.sync.tenure == reply.position.tenure;
     let sent_limits = if is_same_tenure { revision } else { 0 };
-    Some(Position { sync: reply.position, crash_digest, sent_limits })
+    let sent_request_crashes = if is_same_tenure { crashes_revision } else { 0 };
+    Some(Position { sync: reply.position, crash_digest, sent_limits, sent_request_crashes })
 }
--- a/savoryport/src/node/fleet.rs
+++ b/savoryport/src/node/fleet.rs
@@ -290,6 +290,7 @@
             config: self.version(),
             prompts: have.prompts,
             limits: have.limits,
+            request_crashes: have.request_crashes,
         };
     }
 
--- a/savoryport/src/node/metrics.rs
+++ b/savoryport/src/node/metrics.rs
@@ -70,6 +70,8 @@
     pub denied_permits: Counter,
     /// Parts of prompts in quarantine.
     pub quarantined_parts: Gauge,
+    /// Requests in quarantine.
+    pub quarantined_requests: Gauge,
     /// Orders sent to engines.
     pub orders: Family<OrderLabels, Counter>,
     /// Moves of models that the planner decided on.
@@ -100,6 +102,7 @@
             limit_changes: Counter::default(),
             denied_permits: Counter::default(),
             quarantined_parts: Gauge::default(),
+            quarantined_requests: Gauge::default(),
             orders: Family::default(),
             model_moves: Counter::default(),
             engine_reports: Counter::default(),
@@ -181,6 +184,11 @@
             "Parts of prompts in quarantine",
             self.quarantined_parts.clone(),
         );
+        registry.register(
+            "quarantined_requests",
+            "Requests in quarantine",
+            self.quarantined_requests.clone(),
+        );
         registry.register("orders", "Orders to engines", self.orders.clone());
         registry.register("model_moves", "Moves of models decided", self.model_moves.clone());
         registry.register(
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -28,6 +28,7 @@
 mod proxy;
 mod quarantine;
 mod receive;
+mod request_quarantine;
 mod response;
 mod routing_state;
 pub mod rpc;
--- a/savoryport/src/node/peer_server.rs
+++ b/savoryport/src/node/peer_server.rs
@@ -10,6 +10,7 @@
 use futures::StreamExt;
 use savoryport_core::Name;
 use savoryport_core::node::load::ServerLoad;
+use savoryport_core::node::request_quarantine::RequestCrashReport;
 use savoryport_core::node::server_limit::{LimitReport, Permit, PermitUse};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
@@ -19,6 +20,7 @@
 use super::context::NodeContext;
 use super::prompt_log::PromptLog;
 use super::quarantine::{crash_exchange, merge_crashes};
+use super::request_quarantine::{merge_request_crashes, request_crashes_since};
 use super::rpc::{
     Availability, CopyUse, MAX_MESSAGE_BYTES, Peer, PromptRecord, Role, SyncPosition, SyncReply,
     SyncRequest,
@@ -216,6 +218,9 @@
         merge_limits(cx, &req.limits);
         let known_limits = if req.have.tenure == cx.tenure { req.have.limits } else { 0 };
         let (limits_revision, limits) = limits_since(cx, known_limits);
+        merge_request_crashes(cx, &req.request_crashes);
+        let known_crashes = if req.have.tenure == cx.tenure { req.have.request_crashes } else { 0 };
+        let (crashes_revision, request_crashes) = request_crashes_since(cx, known_crashes);
         let mut reply = SyncReply {
             position: SyncPosition::default(),
             is_holder: cx.controllers.leads(&cx.settings.failure_domain)
@@ -228,6 +233,7 @@
             prompts,
             crashes: crash_exchange(cx, Some(their_digest)),
             limits,
+            request_crashes,
         };
         cx.fleet.update(|state| {
             if req.role == Role::Follower {
@@ -242,6 +248,7 @@
         cx.fleet.read(|state| state.fill_reply(req.have, cx.tenure, domain, &mut reply));
         reply.position.prompts = prompt_count;
         reply.position.limits = limits_revision;
+        reply.position.request_crashes = crashes_revision;
         reply
     }
 
@@ -274,6 +281,15 @@
     ) -> Option<Permit> {
         decide_permit(&self.cx, &report, usage)
     }
+
+    async fn swap_request_crashes(
+        self,
+        _: Context,
+        reports: Vec<RequestCrashReport>,
+    ) -> Vec<RequestCrashReport> {
+        merge_request_crashes(&self.cx, &reports);
+        request_crashes_since(&self.cx, 0).1
+    }
 }
 
 /// Records in the prefix index the prompts that other nodes sent to servers.
--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -1,5 +1,6 @@
 //! Proxies one request of a caller: receives it, sends it to servers and responds to the caller.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,7 @@
 use savoryport_core::node::deployment::{Deployment, RequestKind, Route};
 use savoryport_core::node::health::ServerOutcome;
 use savoryport_core::node::request::{PrefixKeys, RequestHead};
+use savoryport_core::node::request_quarantine::RequestIdentity;
 use savoryport_platform::connection::{Connection, SendError};
 
 use super::context::NodeContext;
@@ -52,6 +54,7 @@
     pub(super) route: Route,
     pub(super) service: Name,
     pub(super) head: RequestHead,
+    pub(super) identity: RequestIdentity,
     pub(super) prefix_keys: PrefixKeys,
     pub(super) arrived_at: Instant,
     /// Since when some server could have taken the request: its arrival, or when its model was
@@ -74,7 +77,7 @@
     pub(super) unreachable_count: u32,
     /// Whether a server has sent a complete event or response.
     pub(super) is_answered: bool,
-    /// Whether a part of the prompt may have crashed another server than the last one.
+    /// Whether the request or a part of its prompt may have crashed another server than the last one.
     pub(super) is_suspect: bool,
     /// Whether a server may have run the request.
     pub(super) may_have_run: bool,
@@ -115,9 +118,9 @@
 }
 
 /// Serves a caller's request.
-pub async fn serve(cx: Arc<NodeContext>, req: Request<Incoming>) -> Response<Body> {
+pub async fn serve(cx: Arc<NodeContext>, caller: IpAddr, req: Request<Incoming>) -> Response<Body> {
     let arrived_at = cx.now();
-    match ProxyRequest::receive(cx.clone(), req, arrived_at).await {
+    match ProxyRequest::receive(cx.clone(), caller, req, arrived_at).await {
         Ok(request) => request.run().await,
         Err(refusal) => {
             cx.metrics.record_refusal(refusal.cause);
@@ -128,8 +131,8 @@
 
 impl ProxyRequest {
     async fn run(mut self) -> Response<Body> {
-        if self.is_quarantined() {
-            return self.finish_with_refusal(Refusal::new(RefusalCause::Quarantined));
+        if let Some(cause) = self.quarantine_cause() {
+            return self.finish_with_refusal(Refusal::new(cause));
         }
         self.record_demand();
         loop {
@@ -305,7 +308,7 @@
                     request = &*self.head.id, server = &*server.id;
                     "server failed before the first event"
                 );
-                self.on_unanswered(selected).await;
+                self.on_unanswered(selected, sent_at).await;
                 self.on_broken_connection(&server.id)
             }
             Some(Ok((response, first_frame))) => {
@@ -331,7 +334,7 @@
                     request = &*self.head.id, server = &*server.id, err:% = err;
                     "server failed before responding"
                 );
-                self.on_unanswered(selected).await;
+                self.on_unanswered(selected, sent_at).await;
                 self.on_broken_connection(&server.id)
             }
             None => {
--- a/savoryport/src/node/quarantine.rs
+++ b/savoryport/src/node/quarantine.rs
@@ -1,8 +1,9 @@
-//! Finds out whether a server has crashed on a request, and exchanges the crashes with other nodes.
+//! Finds out whether a server has crashed on a request, and exchanges with other nodes the crashes
+//! that parts of prompts explain.
 //!
-//! `savoryport_core::node::quarantine` decides which requests reach no server because of them.
+//! `savoryport_core::node::quarantine` decides which parts reach no server because of them.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use savoryport_core::Name;
 use savoryport_core::node::quarantine::{QuarantineChange, SharedParts};
@@ -10,6 +11,8 @@
 
 use super::context::NodeContext;
 use super::proxy::ProxyRequest;
+use super::request_quarantine::report_request_changes;
+use super::response::RefusalCause;
 use super::rpc::CrashExchange;
 use super::server_selection::SelectedServer;
 
@@ -26,11 +29,11 @@
         shared.iter().map(|part| part.id).collect()
     }
 
-    /// Returns whether the request is refused because a part of its prompt crashes servers. One
-    /// that has begun to be answered has shown that its parts do not.
-    pub(super) fn is_quarantined(&self) -> bool {
+    /// Returns why the request is refused, if it or a part of its prompt crashes servers. One that
+    /// has begun to be answered has shown that it does not.
+    pub(super) fn quarantine_cause(&self) -> Option<RefusalCause> {
         if self.is_answered {
-            return false;
+            return None;
         }
         let (parts, now) = (self.shared_parts(), self.cx.now());
         let part = self.cx.routing.lock().quarantine.blocking_part(&parts, now);
@@ -38,8 +41,9 @@
             log::info!(
                 request = &*self.head.id, part = &*format_part(part); "prompt part in quarantine"
             );
+            return Some(RefusalCause::Quarantined);
         }
-        part.is_some()
+        self.is_blocked().then_some(RefusalCause::CrashesServers)
     }
 
     /// Records that a server began to answer the request.
@@ -51,26 +55,34 @@
     }
 
     /// Handles a connection that broke before the server began to answer. If the server has
-    /// crashed, the parts of the prompt become suspect, and a request of which a part is already
-    /// suspect because of another crash is not sent to a further server.
-    pub(super) async fn on_unanswered(&mut self, selected: &SelectedServer) {
+    /// crashed, the request and the parts of its prompt become suspect. If one of them already is
+    /// because of another crash, the request is not sent to a further server.
+    pub(super) async fn on_unanswered(&mut self, selected: &SelectedServer, sent_at: Instant) {
+        if !self.has_crashed(selected).await {
+            return;
+        }
+        self.cx.metrics.server_crashes.inc();
+        self.record_crash(selected, sent_at);
         let parts = self.shared_parts();
-        if parts.is_empty() || !self.has_crashed(selected).await {
+        if parts.is_empty() {
             return;
         }
         let (server, incarnation) = (&selected.server.id, selected.server.incarnation);
         let mut routing = self.cx.routing.lock();
         let changes = routing.quarantine.record_crash(server, incarnation, &parts, self.cx.now());
-        self.is_suspect = routing.quarantine.is_suspect(&parts, server, incarnation);
+        self.is_suspect |= routing.quarantine.is_suspect(&parts, server, incarnation);
         drop(routing);
-        self.cx.metrics.server_crashes.inc();
-        log::warn!(
-            request = &*self.head.id, server = &**server, incarnation = incarnation,
-            suspect = self.is_suspect; "server crashed before it answered"
-        );
         report_changes(&self.cx, &changes);
     }
 
+    /// Handles a connection that broke while the server answered. A request may also crash servers
+    /// then, but the parts of its prompt are sound.
+    pub(super) async fn on_incomplete(&mut self, selected: &SelectedServer, sent_at: Instant) {
+        if self.has_crashed(selected).await {
+            self.record_crash(selected, sent_at);
+        }
+    }
+
     /// Returns whether the server has crashed. One that breaks single connections still accepts new
     /// ones, and one that stops as planned is not registered as ready any more.
     async fn has_crashed(&self, selected: &SelectedServer) -> bool {
@@ -116,7 +128,14 @@
 /// Clears a part for an operator; returns whether it was in quarantine.
 pub(super) fn clear_part(cx: &NodeContext, part: u64) -> bool {
     log::warn!(part = &*format_part(part); "prompt part cleared by an operator");
-    let changes = cx.routing.lock().quarantine.clear(part, cx.now());
+    let now = cx.now();
+    let mut routing = cx.routing.lock();
+    // Requests with the part are not to be refused one by one instead.
+    let crashes = routing.quarantine.crashes_of(part);
+    let request_changes = routing.request_quarantine.settle(&crashes, now);
+    let changes = routing.quarantine.clear(part, now);
+    drop(routing);
+    report_request_changes(cx, &request_changes);
     report_changes(cx, &changes);
     !changes.is_empty()
 }
--- a/savoryport/src/node/receive.rs
+++ b/savoryport/src/node/receive.rs
@@ -1,5 +1,6 @@
 //! Receives a caller's request and matches it to a route.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,8 +9,10 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::HOST;
-use savoryport_adapter::callers::{decode_request_head, strip_headers};
+use hyper::http::request::Parts;
+use savoryport_adapter::callers::{content_headers, decode_request_head, strip_headers};
 use savoryport_core::node::deployment::{Deployment, Route};
+use savoryport_core::node::request_quarantine::{RequestIdentity, hash_caller, hash_content};
 
 use super::context::NodeContext;
 use super::proxy::ProxyRequest;
@@ -19,6 +22,7 @@
     /// Reads the complete request. A request that no server could serve is refused here.
     pub(super) async fn receive(
         cx: Arc<NodeContext>,
+        caller: IpAddr,
         req: Request<Incoming>,
         arrived_at: Instant,
     ) -> Result<Self, Refusal> {
@@ -41,6 +45,7 @@
         let deadline = arrived_at + timeout.min(route.timeout);
         let body =
             read_body(body, &deployment, deadline.saturating_duration_since(cx.now())).await?;
+        let identity = identify(caller, &parts, &body);
         let mut headers = parts.headers;
         strip_headers(&mut headers);
         let prefix_keys =
@@ -53,6 +58,7 @@
             route,
             service,
             head,
+            identity,
             prefix_keys,
             arrived_at,
             queued_since: arrived_at,
@@ -89,6 +95,19 @@
         .ok_or(Refusal::new(RefusalCause::NoRoute))
 }
 
+/// Returns what the attempts of one request have in common. A deadline or an attempt's id differs in
+/// each of them.
+fn identify(caller: IpAddr, head: &Parts, body: &[u8]) -> RequestIdentity {
+    let target = head.uri.path_and_query().map_or("", |target| target.as_str());
+    let mut content = vec![head.method.as_str().as_bytes(), target.as_bytes(), body];
+    content.extend(content_headers(&head.headers));
+    let caller = match caller {
+        IpAddr::V4(address) => hash_caller(&address.octets()),
+        IpAddr::V6(address) => hash_caller(&address.octets()),
+    };
+    RequestIdentity { content: hash_content(&content), caller }
+}
+
 async fn read_body(
     body: Incoming,
     deployment: &Deployment,
--- a/savoryport/src/node/response.rs
+++ b/savoryport/src/node/response.rs
@@ -45,6 +45,8 @@
     Limited,
     /// A part of the prompt crashes servers.
     Quarantined,
+    /// The request crashes servers.
+    CrashesServers,
     /// No server ran the request.
     NotRun,
     /// A server failed before its response was complete, so the request may have run.
@@ -68,6 +70,7 @@
             Self::Overload => "overload",
             Self::Limited => "limited",
             Self::Quarantined => "quarantined",
+            Self::CrashesServers => "crashes-servers",
             Self::NotRun => "not-run",
             Self::Broken => "broken",
             Self::TimedOut => "timed-out",
@@ -87,7 +90,8 @@
             | Self::Quarantined
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
-            Self::BadHead => StatusCode::BAD_REQUEST,
+            // A caller repeats the request after any status that does not blame it.
+            Self::BadHead | Self::CrashesServers => StatusCode::BAD_REQUEST,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyMissing => StatusCode::REQUEST_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
--- a/savoryport/src/node/routing_state.rs
+++ b/savoryport/src/node/routing_state.rs
@@ -10,6 +10,7 @@
 use savoryport_core::node::load::LoadTracker;
 use savoryport_core::node::prefix::PrefixCacheIndex;
 use savoryport_core::node::quarantine::Quarantine;
+use savoryport_core::node::request_quarantine::RequestQuarantine;
 use savoryport_core::node::retry_budget::{RetryBound, RetryBudget};
 use savoryport_core::node::selection::{SelectionContext, SelectionCosts, SpeedEstimates};
 use savoryport_core::node::server_limit::{AllowanceLedger, LimitBook};
@@ -34,6 +35,8 @@
     pub health: HealthTracker,
     /// The crashes of servers, and the parts of prompts that are refused because of them.
     pub quarantine: Quarantine,
+    /// The crashes of servers, and the requests that are refused because of them.
+    pub request_quarantine: RequestQuarantine,
     /// Running averages of the speeds of models and servers.
     pub speeds: SpeedEstimates,
     /// The request rates that servers in need name.
@@ -63,6 +66,7 @@
             prefixes: PrefixCacheIndex::default(),
             health: HealthTracker::default(),
             quarantine: Quarantine::default(),
+            request_quarantine: RequestQuarantine::default(),
             speeds: SpeedEstimates::default(),
             limits: LimitBook::default(),
             allowances: AllowanceLedger::default(),
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -11,6 +11,7 @@
 use savoryport_core::node::quarantine::CrashReport;
 use savoryport_core::node::registry::BackendServer;
 use savoryport_core::node::request::PrefixKeys;
+use savoryport_core::node::request_quarantine::RequestCrashReport;
 use savoryport_core::node::server_limit::{LimitReport, Permit, PermitUse};
 use serde::{Deserialize, Serialize};
 use tarpc::tokio_serde::formats::Bincode;
@@ -50,6 +51,8 @@
     pub config: u64,
     /// The revision of the last change of a server's limit.
     pub limits: u64,
+    /// The revision of the last change of a crash and the requests that were at it.
+    pub request_crashes: u64,
 }
 
 /// The position of servers with which a node asks for none, since it reads them from the store.
@@ -123,6 +126,8 @@
     pub crashes: CrashExchange,
     /// The limits of servers that it learned of since the last call.
     pub limits: Vec<LimitReport>,
+    /// The crashes, with the requests that were at them, that changed since the last call.
+    pub request_crashes: Vec<RequestCrashReport>,
 }
 
 /// The nodes that callers may use, and the leaders by failure domain.
@@ -152,6 +157,8 @@
     pub crashes: CrashExchange,
     /// The limits of servers that changed.
     pub limits: Vec<LimitReport>,
+    /// The crashes, with the requests that were at them, that changed.
+    pub request_crashes: Vec<RequestCrashReport>,
 }
 
 /// A leader's reply to a request for a model or an adapter.
@@ -180,6 +187,9 @@
     /// Asks the owner of a server's allowance for a permit to send it a request. Returns `None` if
     /// the called node does not own it.
     async fn want_permit(report: LimitReport, usage: PermitUse) -> Option<Permit>;
+    /// Takes all crashes that the calling node knows of with the requests that were at them, and
+    /// returns those that the called node knows of.
+    async fn swap_request_crashes(reports: Vec<RequestCrashReport>) -> Vec<RequestCrashReport>;
 }
 
 /// A failed call to another node.
@@ -283,6 +293,20 @@
         reply.map_err(|err| self.call_error(&err))
     }
 
+    /// Calls [`Peer::swap_request_crashes`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call fails or times out.
+    pub async fn swap_request_crashes(
+        &self,
+        reports: Vec<RequestCrashReport>,
+        timeout: Duration,
+    ) -> Result<Vec<RequestCrashReport>, PeerError> {
+        let reply = self.client.swap_request_crashes(call_context(timeout), reports).await;
+        reply.map_err(|err| self.call_error(&err))
+    }
+
     fn call_error(&self, err: &client::RpcError) -> PeerError {
         PeerError { address: self.address, problem: err.to_string() }
     }
--- a/savoryport/src/node/server_response.rs
+++ b/savoryport/src/node/server_response.rs
@@ -35,6 +35,7 @@
             Some(body) => {
                 in_flight.record_first_token();
                 self.record_answer();
+                self.record_completion();
                 self.record_outcome(&selected.server.id, ServerOutcome::Answered);
                 let elapsed = self.cx.now() - in_flight.sent_at();
                 let server = &selected.server.id;
@@ -47,7 +48,7 @@
                 Attempt::Respond(forward_response(status, headers, body))
             }
             None => {
-                self.on_unanswered(selected).await;
+                self.on_unanswered(selected, in_flight.sent_at()).await;
                 self.may_have_run = true;
                 self.record_outcome(&selected.server.id, ServerOutcome::Unreachable);
                 Attempt::TryNext
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -92,8 +92,8 @@
     pub(super) async fn select_server(&mut self) -> Result<SelectedServer, Refusal> {
         let selected = self.await_server().await?;
         // The news may have come while the request waited.
-        if self.is_quarantined() {
-            return Err(Refusal::new(RefusalCause::Quarantined));
+        if let Some(cause) = self.quarantine_cause() {
+            return Err(Refusal::new(cause));
         }
         Ok(selected)
     }
--- a/savoryport/src/node/status.rs
+++ b/savoryport/src/node/status.rs
@@ -1,12 +1,16 @@
 //! The status page of a node, as JSON for operators.
 
+use std::time::Duration;
+
 use savoryport_core::node::quarantine::QuarantineEntry;
+use savoryport_core::node::request_quarantine::BlockedRequest;
 use savoryport_core::node::server_limit::RequestRate;
 use serde_json::{Value, json};
 
 use super::context::NodeContext;
 use super::domain_controller::DomainController;
 use super::quarantine::{clear_part, format_part};
+use super::request_quarantine::clear_request;
 
 /// Returns the node's current view: the configuration, members, leaders and servers, and the
 /// engines of the failure domains that it leads.
@@ -34,8 +38,16 @@
             })
         })
         .collect();
-    let quarantine: Vec<Value> = routing.quarantine.entries().iter().map(entry_status).collect();
-    let crashes = routing.quarantine.crash_count();
+    let now = cx.now();
+    let mut quarantine: Vec<Value> =
+        routing.quarantine.entries().iter().map(entry_status).collect();
+    quarantine.extend(
+        routing
+            .request_quarantine
+            .entries()
+            .map(|(blocked, until)| request_status(blocked, until.saturating_duration_since(now))),
+    );
+    let crashes = routing.request_quarantine.crash_count();
     drop(routing);
     let members: Vec<&str> = view.members.iter().map(|member| &*member.vm).collect();
     json!({
@@ -62,11 +74,19 @@
     json!({ "parts": parts, "servers": entry.servers })
 }
 
+fn request_status(blocked: &BlockedRequest, remaining: Duration) -> Value {
+    json!({
+        "request": format_part(blocked.content), "of_all_callers": blocked.caller.is_none(),
+        "servers": blocked.servers, "ends_in_s": remaining.as_secs_f64(),
+    })
+}
+
 /// Runs the operators' command that a path names; returns `None` if there is no such command.
 pub fn run_command(cx: &NodeContext, path: &str) -> Option<Value> {
     let part = path.strip_prefix("/quarantine/clear/")?;
-    let part = u64::from_str_radix(part, 16).ok()?;
-    Some(json!({ "part": format_part(part), "was_quarantined": clear_part(cx, part) }))
+    let id = u64::from_str_radix(part, 16).ok()?;
+    let was_quarantined = clear_part(cx, id) | clear_request(cx, id);
+    Some(json!({ "part": format_part(id), "was_quarantined": was_quarantined }))
 }
 
 fn leadership_status(cx: &NodeContext, controller: &DomainController) -> Value {
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -109,6 +109,7 @@
             let status = opened.status.as_u16();
             match end {
                 StreamEnd::Completed => {
+                    self.request.record_completion();
                     let OpenedResponse { connection, headers, in_flight, .. } = opened;
                     drop(in_flight);
                     self.request.record_outcome(&selected.server.id, ServerOutcome::Answered);
@@ -129,10 +130,13 @@
                 }
                 StreamEnd::Interrupted => {}
             }
+            let sent_at = opened.in_flight.sent_at();
             // The connection is closed before the stream is resumed elsewhere.
             drop(opened);
-            if !self.is_answering {
-                self.request.on_unanswered(&selected).await;
+            if self.is_answering {
+                self.request.on_incomplete(&selected, sent_at).await;
+            } else {
+                self.request.on_unanswered(&selected, sent_at).await;
             }
             self.request.record_outcome(&selected.server.id, ServerOutcome::Unreachable);
             match self.resume().await {
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -7,12 +7,16 @@
 use std::time::{Duration, Instant};
 
 use savoryport_core::Name;
+use savoryport_core::node::request_quarantine::RequestCrashReport;
 use savoryport_core::node::server_limit::LimitReport;
 use tokio::sync::watch;
 
 use super::context::NodeContext;
 use super::peer_server::record_prompts;
 use super::quarantine::{crash_exchange, expire_crashes, merge_crashes};
+use super::request_quarantine::{
+    expire_request_crashes, merge_request_crashes, request_crashes_since, swap_with_another_domain,
+};
 use super::rpc::{NO_SERVERS_WANTED, PeerError, Role, SyncPosition, SyncReply, SyncRequest};
 use super::server_limits::{limits_since, merge_limits};
 use super::store_reader::{accept_config, expire_servers};
@@ -67,6 +71,9 @@
     crash_digest: Option<u64>,
     /// The revision up to which the leader knows what this node learned of limits.
     sent_limits: u64,
+    /// The revision up to which the leader knows this node's crashes with the requests that were at
+    /// them.
+    sent_request_crashes: u64,
     /// Since when calls have failed.
     failing_since: Option<Instant>,
     /// Whether the leader counts as lost.
@@ -87,6 +94,7 @@
         let former = std::mem::replace(&mut self.have, position);
         if former.tenure != position.tenure {
             self.sent_limits = 0;
+            self.sent_request_crashes = 0;
         }
         if applied_servers {
             self.has_servers = true;
@@ -104,6 +112,12 @@
     }
 }
 
+/// What this node has learned since its last call, to be sent to the leader.
+struct OwnNews {
+    limits: Vec<LimitReport>,
+    request_crashes: Vec<RequestCrashReport>,
+}
+
 /// Follows the leader of this node's failure domain. `read_store` tells the store reader whether
 /// this node has to read the store itself.
 pub async fn follow(cx: Arc<NodeContext>, read_store: watch::Sender<bool>) {
@@ -121,6 +135,7 @@
             let view = cx.fleet.view();
             cx.routing.lock().retain_servers(|server| view.servers.contains_key(server));
             expire_crashes(&cx);
+            expire_request_crashes(&cx);
         }
         read_store
             .send_if_modified(|reads| std::mem::replace(reads, must_read_store) != must_read_store);
@@ -156,15 +171,22 @@
         return true;
     }
     let leader = cx.fleet.read(|state| state.leader(domain).cloned());
-    let Some(leader) = leader.filter(|leader| leader.vm != *own) else { return true };
+    let Some(leader) = leader.filter(|leader| leader.vm != *own) else {
+        swap_with_another_domain(cx);
+        return true;
+    };
     if following.leader.as_ref() != Some(&leader) {
         *following = Following { leader: Some(leader.clone()), ..Following::default() };
     }
     let called_at = cx.now();
     let (revision, limits) = limits_since(cx, following.sent_limits);
-    match call_leader(cx, following, &leader, applies_servers, limits).await {
+    let (crashes_revision, request_crashes) =
+        request_crashes_since(cx, following.sent_request_crashes);
+    let news = OwnNews { limits, request_crashes };
+    match call_leader(cx, following, &leader, applies_servers, news).await {
         Ok(reply) => {
             following.sent_limits = revision;
+            following.sent_request_crashes = crashes_revision;
             if following.is_lost {
                 log::info!(holder = &*leader.vm; "holder regained");
             }
@@ -181,6 +203,9 @@
                 following.start_reading(cx);
             }
             cx.peers.remove(leader.peers);
+            if following.is_lost {
+                swap_with_another_domain(cx);
+            }
             following.is_lost || !applies_servers
         }
     }
@@ -191,9 +216,9 @@
     following: &Following,
     leader: &DomainLeader,
     applies_servers: bool,
-    limits: Vec<LimitReport>,
+    news: OwnNews,
 ) -> Result<SyncReply, PeerError> {
-    let mut req = follower_request(cx, following, limits);
+    let mut req = follower_request(cx, following, news);
     let mut call_timeout = FOLLOW_TIMEOUT;
     if !applies_servers {
         req.have.servers = NO_SERVERS_WANTED;
@@ -210,11 +235,7 @@
     tokio::time::timeout(call_timeout, exchange).await.unwrap_or_else(|_| Err(timed_out()))
 }
 
-fn follower_request(
-    cx: &NodeContext,
-    following: &Following,
-    limits: Vec<LimitReport>,
-) -> SyncRequest {
+fn follower_request(cx: &NodeContext, following: &Following, news: OwnNews) -> SyncRequest {
     let crashes = crash_exchange(cx, following.crash_digest);
     let mut routing = cx.routing.lock();
     SyncRequest {
@@ -228,7 +249,8 @@
         copies: routing.copies_in_use(),
         prompts: std::mem::take(&mut routing.new_prompts),
         crashes,
-        limits,
+        limits: news.limits,
+        request_crashes: news.request_crashes,
     }
 }
 
@@ -246,6 +268,7 @@
     record_prompts(cx, &reply.prompts, now);
     following.crash_digest = Some(merge_crashes(cx, &reply.crashes));
     merge_limits(cx, &reply.limits);
+    merge_request_crashes(cx, &reply.request_crashes);
     cx.fleet.update(|state| {
         if applies_servers {
             state.apply_servers(&reply);
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -4,6 +4,7 @@
 //! describes how the node acts on them.
 
 pub mod admission;
+mod answered;
 pub mod deployment;
 pub mod entry_subset;
 pub mod health;
@@ -15,6 +16,7 @@
 pub mod quarantine;
 pub mod registry;
 pub mod request;
+pub mod request_quarantine;
 pub mod retry_budget;
 pub mod selection;
 pub mod server_limit;
--- a/savoryport_core/src/node/quarantine.rs
+++ b/savoryport_core/src/node/quarantine.rs
@@ -12,12 +12,13 @@
 //! and merge them as sets: the result depends on neither order nor repetition, and any node that
 //! has them all decides alike. [`Quarantine::digest`] tells whether two nodes have the same.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
+use super::answered::AnsweredIds;
 use crate::Name;
 
 /// A part that was answered this recently before a crash is cleared of it.
@@ -45,9 +46,6 @@
 /// The number of suspected parts that are kept of one crash.
 const MAX_SUSPECTS: usize = 64;
 
-/// The number of answered parts that are kept in each of two generations.
-const MAX_ANSWERED: usize = 4_096;
-
 /// The parts of a prompt that other prompts may share: all but the last.
 pub type SharedParts = SmallVec<[u64; 4]>;
 
@@ -99,7 +97,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Quarantine {
     crashes: BTreeMap<(Name, u64), Crash>,
-    answered: AnsweredParts,
+    answered: AnsweredIds,
     entries: Vec<QuarantineEntry>,
 }
 
@@ -154,6 +152,13 @@
         self.reconsider()
     }
 
+    /// Returns the server and incarnation of each crash that a part is suspected of.
+    pub fn crashes_of(&self, part: u64) -> Vec<(Name, u64)> {
+        let suspected =
+            self.crashes.iter().filter(|(_, crash)| crash.suspects.get(&part) == Some(&false));
+        suspected.map(|(key, _)| key.clone()).collect()
+    }
+
     /// Adds the crashes that another node reports.
     pub fn merge(&mut self, reports: &[CrashReport], now: Instant) -> Vec<QuarantineChange> {
         let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
@@ -370,23 +375,3 @@
     }
     count
 }
-
-/// When parts were last answered, in two generations of bounded size.
-#[derive(Debug, Clone, Default)]
-struct AnsweredParts {
-    recent: HashMap<u64, Instant>,
-    older: HashMap<u64, Instant>,
-}
-
-impl AnsweredParts {
-    fn insert(&mut self, part: u64, now: Instant) {
-        if self.recent.len() >= MAX_ANSWERED {
-            self.older = std::mem::take(&mut self.recent);
-        }
-        self.recent.insert(part, now);
-    }
-
-    fn get(&self, part: u64) -> Option<Instant> {
-        self.recent.get(&part).or_else(|| self.older.get(&part)).copied()
-    }
-}
