Read the servers at once after an election whose answer is late

Cause: a node without a leader watches the key of its domain's leader alone, for 1.5 s at a time. If that watch tells it of its own election before the answer to the election arrives, it does not lead yet and watches the key again, so that for up to 1.5 s neither it nor its followers learn of servers that leave.

A node that the store names as the leader reads all keys.

--- a/savoryport/src/node/store_reader.rs
+++ b/savoryport/src/node/store_reader.rs
@@ -129,8 +129,10 @@
         }
         let started = cx.now();
         // After failed calls the servers may have changed too.
-        let waits_for_leader =
-            position.all.is_some() && !cx.controllers.leads_any() && failures == 0;
+        let waits_for_leader = position.all.is_some()
+            && !cx.controllers.leads_any()
+            && !is_elected(&cx)
+            && failures == 0;
         let read = async {
             if waits_for_leader && read_leader(&cx, &mut position).await? {
                 return Ok(());
@@ -162,6 +164,13 @@
     }
 }
 
+/// Returns whether the store names this node as the leader of its failure domain. It may know that
+/// from the store before it receives the answer to its election.
+fn is_elected(cx: &NodeContext) -> bool {
+    let leads = |leader: &DomainLeader| leader.vm == cx.settings.vm;
+    cx.fleet.read(|state| state.leader(&cx.settings.failure_domain).is_some_and(leads))
+}
+
 /// Removes the servers that have not registered again after an outage.
 pub(super) fn expire_servers(state: &mut FleetState, now: Instant) {
     for id in state.registry.expire(now) {
--- a/savoryport/tests/node_requests.rs
+++ b/savoryport/tests/node_requests.rs
@@ -238,6 +238,28 @@
     }
 }
 
+#[test]
+fn node_that_sees_its_own_election_before_the_answer_learns_of_servers_that_leave() {
+    let mut site = NodeSite::start(1);
+    site.nodes[0].signal(Signal::KILL);
+    site.nodes[0].wait_for_exit();
+    for key in site.duty_keys() {
+        site.store.remove(&key);
+    }
+    site.store.set_mode(StoreMode::DelaysResponses(Duration::from_millis(300)));
+    site.nodes[0].start();
+    site.wait_until("the node is elected", |site| !site.duty_keys().is_empty());
+    std::thread::sleep(Duration::from_millis(400));
+    site.server("plain-0").register("draining");
+    site.server("plain-1").deregister();
+    std::thread::sleep(Duration::from_millis(800));
+    for number in 0..6 {
+        let id = format!("g-{number}");
+        assert_eq!(site.send(0, &id, RequestKind::Idempotent).status, 200);
+        assert_eq!(site.server("plain-2").runs_of(&id), 1);
+    }
+}
+
 #[test]
 fn malformed_server_entry_is_ignored() {
     let site = NodeSite::start(1);
--- a/savoryport_standin/src/metadata.rs
+++ b/savoryport_standin/src/metadata.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use base64::Engine as _;
@@ -24,6 +25,8 @@
     Silent,
     /// Executes calls, but sends no responses to writes.
     DropsResponses,
+    /// Executes calls, but responds to writes only after this time.
+    DelaysResponses(Duration),
 }
 
 #[derive(Debug, Clone)]
@@ -250,7 +253,7 @@
             return respond_json_with(req, 503, &era(shared.lock().era), &json!({}));
         }
         StoreMode::Silent => return drop_response(req),
-        StoreMode::Up | StoreMode::DropsResponses => {}
+        StoreMode::Up | StoreMode::DropsResponses | StoreMode::DelaysResponses(_) => {}
     }
     let (status, response) = match (req.method(), path) {
         (Method::Get, "/savoryport/kv-range") => range(shared, &query),
@@ -272,8 +275,10 @@
         },
         _ => (404, json!({})),
     };
-    if mode == StoreMode::DropsResponses && *req.method() != Method::Get {
-        return drop_response(req);
+    match mode {
+        StoreMode::DropsResponses if *req.method() != Method::Get => return drop_response(req),
+        StoreMode::DelaysResponses(delay) if *req.method() != Method::Get => thread::sleep(delay),
+        _ => {}
     }
     respond_json_with(req, status, &era(shared.lock().era), &response);
 }
