Send no requests to a server that tells in an answer that it leaves

New on the users' pages: a server that leaves says so in all its answers (Server-Leaving: 1). The nodes did not read that, so requests went on reaching such a server while its registry entry said ready.

A node notes it for the incarnation that said so, and selects that server no more, whatever its entry says, until it has started again. Answers that may be nobody's count for nothing.

Not done: other nodes and the placement of models do not learn of it.

--- a/savoryport/src/node/routing_state.rs
+++ b/savoryport/src/node/routing_state.rs
@@ -14,6 +14,7 @@
 use savoryport_core::node::retry_budget::{RetryBound, RetryBudget};
 use savoryport_core::node::selection::{SelectionContext, SelectionCosts, SpeedEstimates};
 use savoryport_core::node::server_limit::{AllowanceLedger, LimitBook};
+use savoryport_core::node::server_notices::ServerNotices;
 
 use super::rpc::{CopyUse, PromptRecord};
 
@@ -39,6 +40,8 @@
     pub request_quarantine: RequestQuarantine,
     /// Running averages of the speeds of models and servers.
     pub speeds: SpeedEstimates,
+    /// What servers told of themselves in their answers.
+    pub notices: ServerNotices,
     /// The request rates that servers in need name.
     pub limits: LimitBook,
     /// The permits that this node granted as the owner of servers' allowances.
@@ -68,6 +71,7 @@
             quarantine: Quarantine::default(),
             request_quarantine: RequestQuarantine::default(),
             speeds: SpeedEstimates::default(),
+            notices: ServerNotices::default(),
             limits: LimitBook::default(),
             allowances: AllowanceLedger::default(),
             retry_budget: RetryBudget::new(bound, nodes),
@@ -122,6 +126,7 @@
     pub fn retain_servers(&mut self, keep: impl Fn(&str) -> bool) {
         self.prefixes.retain(&keep);
         self.health.retain(&keep);
+        self.notices.retain(&keep);
         self.speeds.retain(&keep);
         self.limits.retain(&keep);
         self.allowances.retain(&keep);
--- a/savoryport/src/node/server_response.rs
+++ b/savoryport/src/node/server_response.rs
@@ -5,9 +5,11 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
-use hyper::StatusCode;
 use hyper::body::Incoming;
-use savoryport_adapter::servers::{keep_alive_timeout, promises_not_run, strip_connection_headers};
+use hyper::{HeaderMap, StatusCode};
+use savoryport_adapter::servers::{
+    ResponseKind, is_leaving, keep_alive_timeout, promises_not_run, strip_connection_headers,
+};
 use savoryport_core::Name;
 use savoryport_core::node::health::ServerOutcome;
 use tokio::sync::Semaphore;
@@ -72,6 +74,27 @@
         }
     }
 
+    /// Records what an answer tells of its server. Bytes that may be nobody's answer tell nothing.
+    pub(super) fn record_notices(
+        &self,
+        selected: &SelectedServer,
+        headers: &HeaderMap,
+        kind: ResponseKind,
+    ) {
+        let server = &selected.server;
+        if kind == ResponseKind::Unverified || !is_leaving(headers) {
+            return;
+        }
+        let mut routing = self.cx.routing.lock();
+        if routing.notices.record_leaving(&server.id, server.incarnation) {
+            drop(routing);
+            log::info!(
+                request = &*self.head.id, server = &*server.id, incarnation = server.incarnation;
+                "server tells that it leaves"
+            );
+        }
+    }
+
     /// Records that the server does not hold the model or is full, so that requests avoid it for a
     /// while.
     fn learn_from_refusal(&self, status: StatusCode, selected: &SelectedServer) {
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -362,6 +362,7 @@
                 !self.attempted_servers.contains(&server.id)
                     && !self.excluded_servers.contains(&server.id)
             })
+            .filter(|server| routing.notices.allow(&server.id, server.incarnation))
             .filter(|server| !lacks_copy(server))
             .filter(|server| !health.is_full(&server.id, self.route.rank, now))
             .filter(|server| {
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -20,3 +20,4 @@
 pub mod retry_budget;
 pub mod selection;
 pub mod server_limit;
+pub mod server_notices;
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -86,6 +86,10 @@
     fault: BackendFault,
     /// The value of the `Server-Limit` header in responses.
     limit: Option<String>,
+    /// Whether responses tell that the server leaves.
+    is_leaving: bool,
+    /// The value of the `Retry-After` header in refusals.
+    retry_after: Option<String>,
     /// When requests arrived that are no reports or orders.
     arrivals: Vec<Instant>,
     runs_by_request: HashMap<String, u32>,
@@ -171,6 +175,16 @@
         self.lock().limit = limit.map(str::to_owned);
     }
 
+    /// Tells in all responses to requests from now on that the server leaves.
+    pub fn announce_leaving(&self) {
+        self.lock().is_leaving = true;
+    }
+
+    /// Sets the value of the `Retry-After` header in refusals.
+    pub fn set_retry_after(&self, retry_after: Option<&str>) {
+        self.lock().retry_after = retry_after.map(str::to_owned);
+    }
+
     /// Returns when requests arrived, oldest first, those included that the server refused.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.lock().arrivals.clone()
@@ -217,7 +231,7 @@
     let body = read_body(&mut req);
     let fault = state.lock().expect("no thread panics while holding the lock").fault;
     if fault == BackendFault::Replaced {
-        return refuse(req, 421, None);
+        return refuse(req, 421, "");
     }
     match (req.method(), req.url()) {
         (Method::Get, "/savoryport/report") => send_report(state, incarnation, req),
@@ -258,6 +272,13 @@
 }
 
 impl State {
+    /// Returns the header lines by which the server tells of its own condition in all responses.
+    fn notice_headers(&self) -> String {
+        let limit = self.limit.as_ref().map(|limit| format!("Server-Limit: {limit}\r\n"));
+        let leaving = if self.is_leaving { "Server-Leaving: 1\r\n" } else { "" };
+        format!("{}{leaving}", limit.unwrap_or_default())
+    }
+
     fn execute_order(&mut self, cfg: &BackendConfig, order: &Value) -> u16 {
         if order["precondition"].as_u64().is_some_and(|expected| expected != self.accepted_orders) {
             return 409;
@@ -309,7 +330,7 @@
     let (fault, proof) = {
         let mut state = state.lock().expect("no thread panics while holding the lock");
         state.arrivals.push(Instant::now());
-        let limit = state.limit.clone();
+        let notices = state.notice_headers();
         let is_for_other_server =
             header(&req, "x-expect-instance").is_some_and(|expected| expected != cfg.id);
         let is_not_loaded = target.as_deref().is_some_and(|target| !state.has_loaded(target));
@@ -319,11 +340,14 @@
             _ => None,
         };
         if let Some(status) = status {
+            let retry_after = state.retry_after.clone().filter(|_| status == 503);
+            let retry_after =
+                retry_after.map(|value| format!("Retry-After: {value}\r\n")).unwrap_or_default();
             drop(state);
-            return refuse(req, status, limit.as_deref());
+            return refuse(req, status, &format!("{notices}{retry_after}"));
         }
         *state.runs_by_request.entry(id.clone()).or_default() += 1;
-        (state.fault, proof_headers(cfg, &id, limit.as_deref()))
+        (state.fault, proof_headers(cfg, &id, &notices))
     };
     match fault {
         BackendFault::DropsResponses => {
@@ -332,7 +356,7 @@
         }
         BackendFault::InternalError => respond(req, 500, &proof, "failed"),
         BackendFault::WrongRequestId => {
-            respond(req, 200, &proof_headers(cfg, "somebody-else", None), "not yours");
+            respond(req, 200, &proof_headers(cfg, "somebody-else", ""), "not yours");
         }
         BackendFault::EndlessHead => {
             let head = format!("HTTP/1.1 200 OK\r\n{proof}");
@@ -362,8 +386,8 @@
 }
 
 /// Refuses a request without running it.
-fn refuse(req: Request, status: u16, limit: Option<&str>) {
-    respond(req, status, &format!("X-Not-Executed: 1\r\n{}", limit_header(limit)), "");
+fn refuse(req: Request, status: u16, headers: &str) {
+    respond(req, status, &format!("X-Not-Executed: 1\r\n{headers}"), "");
 }
 
 /// Sends a response with these header lines.
@@ -376,13 +400,8 @@
 }
 
 /// Returns the header lines by which a server shows that it ran the request.
-fn proof_headers(cfg: &BackendConfig, id: &str, limit: Option<&str>) -> String {
-    let limit = limit_header(limit);
-    format!("X-Attempt-Id: {id}\r\nX-Server-Stamp: stamp.{}\r\n{limit}", cfg.id)
-}
-
-fn limit_header(limit: Option<&str>) -> String {
-    limit.map(|limit| format!("Server-Limit: {limit}\r\n")).unwrap_or_default()
+fn proof_headers(cfg: &BackendConfig, id: &str, notices: &str) -> String {
+    format!("X-Attempt-Id: {id}\r\nX-Server-Stamp: stamp.{}\r\n{notices}", cfg.id)
 }
 
 /// Sends `head` and then filler lines, each starting with `line_start`, until the client closes the
