Give servers the pause that they ask for in refusals

The nodes did not read it from servers, so that one in need went on getting requests, each of which had used up an attempt.

A node selects such a server no more until the time is over; a later shorter time does not end it, at most ten minutes count, and what is no decimal number of seconds is ignored. If all servers that could take a request want a pause, it is refused at once with the end of the first one.

Not done: a bounded warning for unreadable times; the placement of models does not know of pauses.

--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -316,7 +316,7 @@
                 let kind = classify_response(parts.status, &parts.headers, &self.head.id);
                 let (status, headers) = (parts.status, parts.headers);
                 self.record_limit(selected, (status, &headers, kind), sent_at);
-                self.record_notices(selected, &headers, kind);
+                self.record_notices(selected, (status, &headers, kind));
                 self.cx.routing.lock().health.record_activity(&server.id, self.cx.now());
                 let first_chunk = match first_frame {
                     FirstFrame::Data(data) => Some(data),
--- a/savoryport/src/node/server_response.rs
+++ b/savoryport/src/node/server_response.rs
@@ -8,7 +8,8 @@
 use hyper::body::Incoming;
 use hyper::{HeaderMap, StatusCode};
 use savoryport_adapter::servers::{
-    ResponseKind, is_leaving, keep_alive_timeout, promises_not_run, strip_connection_headers,
+    ResponseKind, is_leaving, keep_alive_timeout, promises_not_run, requested_pause,
+    strip_connection_headers,
 };
 use savoryport_core::Name;
 use savoryport_core::node::health::ServerOutcome;
@@ -78,21 +79,33 @@
     pub(super) fn record_notices(
         &self,
         selected: &SelectedServer,
-        headers: &HeaderMap,
-        kind: ResponseKind,
+        (status, headers, kind): (StatusCode, &HeaderMap, ResponseKind),
     ) {
-        let server = &selected.server;
-        if kind == ResponseKind::Unverified || !is_leaving(headers) {
+        if kind == ResponseKind::Unverified {
             return;
         }
+        let (server, now) = (&selected.server, self.cx.now());
         let mut routing = self.cx.routing.lock();
-        if routing.notices.record_leaving(&server.id, server.incarnation) {
-            drop(routing);
+        let notices = &mut routing.notices;
+        let is_news = is_leaving(headers) && notices.record_leaving(&server.id, server.incarnation);
+        let pause = requested_pause(status, headers);
+        if let Some(pause) = pause {
+            notices.record_pause(&server.id, server.incarnation, pause, now);
+        }
+        drop(routing);
+        if is_news {
             log::info!(
                 request = &*self.head.id, server = &*server.id, incarnation = server.incarnation;
                 "server tells that it leaves"
             );
         }
+        if let Some(pause) = pause {
+            log::info!(
+                request = &*self.head.id, server = &*server.id,
+                pause_ms = pause.as_millis().min(u128::from(u64::MAX)) as u64;
+                "server wants no requests"
+            );
+        }
     }
 
     /// Records that the server does not hold the model or is full, so that requests avoid it for a
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -224,8 +224,33 @@
     fn explain_no_candidates(&self, view: &FleetView) -> Selection {
         match &self.head.generation {
             Some(_) if self.holders(view).next().is_none() => Selection::NoModel,
-            _ => Selection::NoServer,
+            _ => match self.shortest_pause(view) {
+                Some(pause) => {
+                    Selection::Limited { retry_after: retry_after(pause, self.cx.random_unit()) }
+                }
+                None => Selection::NoServer,
+            },
+        }
+    }
+
+    /// Returns the time until the first pause of a server ends, if all servers that hold the model and
+    /// have not been tried want no requests.
+    fn shortest_pause(&self, view: &FleetView) -> Option<Duration> {
+        let now = self.cx.now();
+        let routing = self.cx.routing.lock();
+        let untried = self.holders(view).filter(|server| {
+            !self.attempted_servers.contains(&server.id)
+                || routing.notices.remaining_pause(&server.id, server.incarnation, now).is_some()
+        });
+        let mut shortest: Option<Duration> = None;
+        for server in untried {
+            if routing.notices.allow(&server.id, server.incarnation, now) {
+                return None;
+            }
+            let pause = routing.notices.remaining_pause(&server.id, server.incarnation, now);
+            shortest = shortest.into_iter().chain(pause).min();
         }
+        shortest
     }
 
     /// Returns the ready servers that hold the model; all of the service if no model is asked for.
@@ -362,7 +387,7 @@
                 !self.attempted_servers.contains(&server.id)
                     && !self.excluded_servers.contains(&server.id)
             })
-            .filter(|server| routing.notices.allow(&server.id, server.incarnation))
+            .filter(|server| routing.notices.allow(&server.id, server.incarnation, now))
             .filter(|server| !lacks_copy(server))
             .filter(|server| !health.is_full(&server.id, self.route.rank, now))
             .filter(|server| {
