Test odd entries among those of the servers

Another operator's nodes ended, or stopped following the list, after an entry with deep nesting, a number too large or a port out of range. Eleven such entries, under the keys of servers and of leaders, and one that is no text do no harm here: both nodes stay ready and follow the changes after them.

--- a/savoryport/tests/node_requests.rs
+++ b/savoryport/tests/node_requests.rs
@@ -269,6 +269,54 @@
     assert_eq!(site.send(0, "after-ghosts", RequestKind::Idempotent).status, 200);
 }
 
+#[test]
+fn odd_entries_of_another_writer_neither_end_nodes_nor_stop_their_reading() {
+    let site = NodeSite::start(2);
+    let entry = |field: &str, value: &str| {
+        let mut fields = vec![
+            ("service", r#""orders""#),
+            ("address", r#""127.0.0.1:9""#),
+            ("zone", r#""east-a""#),
+            ("state", r#""draining""#),
+            ("born", "5"),
+        ];
+        fields.retain(|(name, _)| *name != field);
+        fields.push((field, value));
+        let fields: Vec<String> =
+            fields.iter().map(|(name, value)| format!(r#""{name}":{value}"#)).collect();
+        format!("{{{}}}", fields.join(","))
+    };
+    let nested = "[".repeat(200_000) + &"]".repeat(200_000);
+    let odd = [
+        nested.clone(),
+        entry("models", &nested),
+        entry("address", r#""127.0.0.1:70000""#),
+        entry("address", "70000"),
+        entry("born", "1e400"),
+        entry("born", "99999999999999999999999999"),
+        entry("slots", "-1"),
+        entry("remainingMs", "1e308"),
+        entry("remainingMs", "-1e308"),
+        entry("models", r#"[{"name":"m0","version":1e99}]"#),
+        String::new(),
+    ];
+    for (number, value) in odd.iter().enumerate() {
+        site.store.write_bytes(&format!("servers/odd-{number}"), value.as_bytes());
+        site.store.write_bytes(&format!("savoryport/duty/odd-{number}"), value.as_bytes());
+    }
+    site.store.write_bytes("servers/not-text", &[0xff, 0, 0xfe]);
+    // A change after the odd entries is followed.
+    site.server("plain-0").register("draining");
+    site.server("plain-1").deregister();
+    std::thread::sleep(Duration::from_millis(800));
+    for number in 0..12 {
+        let id = format!("beside-odd-{number}");
+        assert_eq!(site.send(number % 2, &id, RequestKind::Idempotent).status, 200);
+        assert_eq!(site.server("plain-2").runs_of(&id), 1);
+    }
+    assert!(site.nodes.iter().all(node_site::SiteNode::is_ready), "no node has ended");
+}
+
 #[test]
 fn a_stopping_node_leaves_the_directory_answers_and_finishes_its_streams() {
     let mut site = NodeSite::start(3);
--- a/savoryport_standin/src/metadata.rs
+++ b/savoryport_standin/src/metadata.rs
@@ -115,8 +115,13 @@
 
     /// Writes a key directly, as operators and backend servers do.
     pub fn write(&self, key: &str, value: &Value) {
+        self.write_bytes(key, value.to_string().as_bytes());
+    }
+
+    /// Writes a key directly, with any bytes.
+    pub fn write_bytes(&self, key: &str, value: &[u8]) {
         let mut state = self.shared.lock();
-        state.contents.put(key, STANDARD.encode(value.to_string()), 0);
+        state.contents.put(key, STANDARD.encode(value), 0);
         self.shared.changed.notify_all();
     }
 
