Take no earlier refusal on a kept connection for one of this request

Reported by another operator: a faulty server wrote a refusal once more on a kept connection, and the next caller was told 'not run' for a request that ran. It can happen here if the copy names no request: any refusal without an id counted as one of the current request. The new test failed (the request ran and its caller got 503).

A refusal without an id now proves nothing on a connection that has carried another request; the caller of a non-idempotent one gets 502. On a new connection it still counts.

Also tests that a stream which breaks off, with a next server that answers with an error, with another request's answer or with a refusal, ends incomplete and without that text; it passes on the code as it was.

--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -313,7 +313,9 @@
             }
             Some(Ok((response, first_frame))) => {
                 let (parts, body) = response.into_parts();
-                let kind = classify_response(parts.status, &parts.headers, &self.head.id);
+                let is_reused = connection.is_reused();
+                let kind =
+                    classify_response(parts.status, &parts.headers, &self.head.id, is_reused);
                 let (status, headers) = (parts.status, parts.headers);
                 self.record_limit(selected, (status, &headers, kind), sent_at);
                 self.record_notices(selected, (status, &headers, kind));
--- a/savoryport/tests/node_bad_servers.rs
+++ b/savoryport/tests/node_bad_servers.rs
@@ -177,3 +177,45 @@
         assert_eq!(site.send(0, "empty", kind).status, 502, "{kind:?}");
     }
 }
+
+#[test]
+fn earlier_refusal_on_a_kept_connection_is_no_promise_that_a_request_has_not_run() {
+    let site = NodeSite::start(1);
+    for number in 0..12 {
+        set_faults(&site, "plain", BackendFault::None);
+        // Leaves a connection to each server open.
+        for warm in 0..6 {
+            let id = format!("warm-{number}-{warm}");
+            assert_eq!(site.send(0, &id, RequestKind::NonIdempotent).status, 200);
+        }
+        set_faults(&site, "plain", BackendFault::RepeatsRefusals);
+        let id = format!("ran-{number}");
+        let response = site.send(0, &id, RequestKind::NonIdempotent);
+        let runs = site.runs_of(&id);
+        assert!(runs <= 1, "{id} ran {runs} times");
+        assert!(runs == 0 || response.status != 503, "{id} ran and got {}", response.status);
+    }
+}
+
+#[test]
+fn stream_that_breaks_before_a_server_with_an_error_ends_incomplete_and_without_the_error() {
+    for fault in [BackendFault::InternalError, BackendFault::WrongRequestId, BackendFault::Full] {
+        let mut site = NodeSite::start(1);
+        site.models.push(("m3", 0.4));
+        let breaks = RawEngineFault::EndsInsideEvent { event: 3 };
+        let _breaks = site.start_raw_engine("breaks-a", "m3", breaks);
+        site.add_server("fails-b", "drafts", &["m3"]);
+        site.server("fails-b").set_fault(fault);
+        site.write_config();
+        site.wait_for_servers(&["breaks-a", "fails-b"]);
+        for number in 0..6 {
+            let id = format!("broken-{number}");
+            let response = site.send(0, &id, RequestKind::Stream("m3"));
+            let is_whole = response.body == Some(expected_stream(&id));
+            assert!(
+                response.status != 200 || response.body.is_none() || is_whole,
+                "{fault:?}: {response:?}"
+            );
+        }
+    }
+}
--- a/savoryport_platform/src/connection.rs
+++ b/savoryport_platform/src/connection.rs
@@ -68,6 +68,8 @@
 pub struct Connection {
     address: Name,
     sender: SendRequest<Full<Bytes>>,
+    /// Whether it has carried a request before this one.
+    is_reused: bool,
     /// The task that drives the connection; dropping it closes the socket, even during a request.
     _driver: AbortOnDropHandle<()>,
 }
@@ -185,7 +187,7 @@
                 && idle.expires_at.is_none_or(|expires_at| now < expires_at)
         });
         let position = connections.iter().rposition(|idle| idle.is_reusable(max_idle, now))?;
-        Some(connections.remove(position).connection)
+        Some(Connection { is_reused: true, ..connections.remove(position).connection })
     }
 }
 
@@ -198,6 +200,12 @@
 }
 
 impl Connection {
+    /// Returns whether the connection has carried an earlier request, of which the server may still
+    /// send something.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// Dropping the future or the response body closes the connection, which cancels the request
@@ -237,5 +245,10 @@
         http1::handshake(TokioIo::new(stream)).await.map_err(|err| err.to_string())?;
     // The driver's error is dropped because the request in progress reports it too.
     let driver = tokio::spawn(async { drop(driver.await) });
-    Ok(Connection { address: address.clone(), sender, _driver: AbortOnDropHandle::new(driver) })
+    Ok(Connection {
+        address: address.clone(),
+        sender,
+        is_reused: false,
+        _driver: AbortOnDropHandle::new(driver),
+    })
 }
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -74,6 +74,8 @@
         /// The time from the first copy to the second one.
         after: Duration,
     },
+    /// Sends an earlier refusal, which names no request, once more before each response.
+    RepeatsRefusals,
     /// Sends one byte of a response at a time and never completes an event.
     Drips {
         /// The time between two bytes.
@@ -231,7 +233,8 @@
     let body = read_body(&mut req);
     let fault = state.lock().expect("no thread panics while holding the lock").fault;
     if fault == BackendFault::Replaced {
-        return refuse(req, 421, "");
+        let id = header(&req, "x-attempt-id").unwrap_or_default();
+        return refuse(req, 421, &id, "");
     }
     match (req.method(), req.url()) {
         (Method::Get, "/savoryport/report") => send_report(state, incarnation, req),
@@ -344,7 +347,7 @@
             let retry_after =
                 retry_after.map(|value| format!("Retry-After: {value}\r\n")).unwrap_or_default();
             drop(state);
-            return refuse(req, status, &format!("{notices}{retry_after}"));
+            return refuse(req, status, &id, &format!("{notices}{retry_after}"));
         }
         *state.runs_by_request.entry(id.clone()).or_default() += 1;
         (state.fault, proof_headers(cfg, &id, &notices))
@@ -373,6 +376,16 @@
             send_endlessly(req, &head, "");
         }
         BackendFault::Drips { interval } => drip(req, &proof, interval),
+        BackendFault::RepeatsRefusals => {
+            let body = format!("answer to {id}");
+            let refusal = "HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\ncontent-length: 0\r\n\r\n";
+            let response =
+                format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n{proof}\r\n{body}", body.len());
+            let mut writer = req.into_writer();
+            let _ = writer.write_all(refusal.as_bytes()).and_then(|()| writer.flush());
+            thread::sleep(cfg.event_interval);
+            let _ = writer.write_all(response.as_bytes()).and_then(|()| writer.flush());
+        }
         BackendFault::RepeatsResponses { after } => {
             thread::sleep(cfg.event_interval);
             respond_twice(req, &proof, &id, after);
@@ -386,8 +399,8 @@
 }
 
 /// Refuses a request without running it.
-fn refuse(req: Request, status: u16, headers: &str) {
-    respond(req, status, &format!("X-Not-Executed: 1\r\n{headers}"), "");
+fn refuse(req: Request, status: u16, id: &str, headers: &str) {
+    respond(req, status, &format!("X-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\n{headers}"), "");
 }
 
 /// Sends a response with these header lines.
--- a/savoryport_standin/src/raw_engine.rs
+++ b/savoryport_standin/src/raw_engine.rs
@@ -274,7 +274,10 @@
         if header("x-expect-instance") != server {
             return send(
                 stream,
-                "HTTP/1.1 421 x\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n",
+                &format!(
+                    "HTTP/1.1 421 x\r\nX-Attempt-Id: {id}\r\nx-not-executed: 1\r\n\
+                     content-length: 0\r\n\r\n"
+                ),
             );
         }
         *self.lock().runs_by_request.entry(id.to_owned()).or_default() += 1;
