--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -196,12 +196,13 @@
         })
     }
 
-    /// Returns the refusal for a cause. If the request may have run, its status never promises that
-    /// it did not.
+    /// Returns the refusal for a cause. If the request may have run, its status never says that it
+    /// did not.
     fn refusal_for(&self, cause: RefusalCause) -> Refusal {
         /// The time after which a caller may retry a request that did not run.
         const RETRY_AFTER: Duration = Duration::from_millis(250);
         let cause = match cause {
+            RefusalCause::CrashesServers if self.may_have_run => RefusalCause::Broken,
             cause if self.may_have_run && promises_not_run(cause.status()) => RefusalCause::Broken,
             cause => cause,
         };
