Test that restarted nodes and followers without a leader learn of the request

Two tests with real nodes: one that was killed and started again refuses the request at once, and an operator lists and clears it at all nodes; a follower whose leader is gone, cut off from the store, learns of it within 4 s.

--- a/savoryport/tests/node_deadly_requests.rs
+++ b/savoryport/tests/node_deadly_requests.rs
@@ -3,10 +3,13 @@
 
 mod node_site;
 
+use std::process::Command;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use node_site::{CallerResponse, NodeSite, post};
+use rustix::process::Signal;
+use savoryport_standin::proxy::Faults;
 use savoryport_standin::raw_engine::{RawEngine, RawEngineFault};
 
 const SERVICE: &str = "fragile";
@@ -25,7 +28,16 @@
 
 /// Starts nodes, and three servers that crash on the request with this path.
 fn start(nodes: usize, deadly_path: &str) -> (NodeSite, Vec<RawEngine>) {
-    let mut site = NodeSite::start(nodes);
+    start_in_domains(&["east-a"], nodes, deadly_path)
+}
+
+/// Starts as many nodes in each of these failure domains.
+fn start_in_domains(
+    domains: &[&'static str],
+    nodes: usize,
+    deadly_path: &str,
+) -> (NodeSite, Vec<RawEngine>) {
+    let mut site = NodeSite::start_in_domains(domains, nodes);
     site.plain_services.push(SERVICE);
     site.write_config();
     let ids: Vec<String> = (0..3).map(|number| format!("fragile-{number}")).collect();
@@ -33,7 +45,7 @@
     let servers = ids.iter().map(|id| site.start_raw_server(id, SERVICE, fault.clone())).collect();
     site.wait_for_servers(&ids.iter().map(String::as_str).collect::<Vec<_>>());
     site.wait_until("every node serves the service", |site| {
-        (0..nodes).all(|node| {
+        (0..site.nodes.len()).all(|node| {
             let path = format!("/{SERVICE}-lookup/ready");
             post(&site.nodes[node].callers, "ready", &path, "").status == 200
         })
@@ -156,3 +168,74 @@
     assert!(later <= MAX_LATER_ARRIVALS, "{later} requests reached engines late");
     assert!(crashes <= 5, "{crashes} crashes");
 }
+
+/// Posts the deadly request to the first node until it is refused as one that crashes servers.
+fn await_quarantine(site: &NodeSite, path: &str) {
+    site.wait_until("the first node refuses the request", |site| {
+        std::thread::sleep(Duration::from_millis(300));
+        post(&site.nodes[0].callers, "deadly", path, "the deadly body").status == 400
+    });
+}
+
+/// Asserts that a node refuses the request at once, and sends it to no server.
+fn assert_refused(site: &NodeSite, node: usize, path: &str, servers: &[RawEngine]) {
+    let arrivals = || servers.iter().map(|server| server.deadly_arrivals().len()).sum::<usize>();
+    let before = arrivals();
+    let id = format!("deadly-at-{node}");
+    let response = post(&site.nodes[node].callers, &id, path, "the deadly body");
+    assert_eq!((response.status, response.retry_after, arrivals()), (400, None, before));
+}
+
+#[test]
+fn restarted_node_refuses_the_request_and_an_operator_clears_it_at_all_nodes() {
+    let path = format!("/{SERVICE}-lookup/deadly");
+    let (mut site, servers) = start(2, &path);
+    await_quarantine(&site, &path);
+    site.nodes[1].signal(Signal::KILL);
+    site.nodes[1].wait_for_exit();
+    site.nodes[1].start();
+    site.wait_until("the restarted node knows the request", |site| {
+        site.nodes[1].is_ready() && !quarantined(site, 1).is_empty()
+    });
+    assert_refused(&site, 1, &path, &servers);
+    let run = |args: &[&str]| {
+        let node = site.nodes[0].metrics_address();
+        let program = env!("CARGO_BIN_EXE_savoryport");
+        let (verb, rest) = args.split_first().expect("a verb");
+        let output = Command::new(program).args(["quarantine", verb, &node]).args(rest).output();
+        String::from_utf8(output.expect("the program runs").stdout).expect("text")
+    };
+    let content = quarantined(&site, 0);
+    let listed = run(&["list"]);
+    assert!(listed.contains(&content) && listed.contains("request, ends in"), "{listed}");
+    assert!(run(&["clear", &content]).contains("cleared"));
+    site.wait_until("no node knows a quarantine", |site| {
+        (0..2).all(|node| quarantined(site, node).is_empty())
+    });
+}
+
+/// Returns the request that a node has in quarantine, or nothing.
+fn quarantined(site: &NodeSite, node: usize) -> String {
+    let status = site.nodes[node].status_json();
+    status["quarantine"][0]["request"].as_str().unwrap_or_default().to_owned()
+}
+
+#[test]
+fn follower_without_its_leader_and_the_store_learns_of_the_request() {
+    let path = format!("/{SERVICE}-lookup/deadly");
+    let (mut site, servers) = start_in_domains(&["east-a", "west-a"], 2, &path);
+    let leads = |node: usize| {
+        let duties = site.nodes[node].status_json()["duties"].clone();
+        duties.as_array().is_some_and(|duties| !duties.is_empty())
+    };
+    let (leader, follower) = if leads(2) { (2, 3) } else { (3, 2) };
+    let cut = Faults { refuse: true, pause: true, ..Faults::default() };
+    site.nodes[follower].store_proxy.set_faults(|faults| *faults = cut);
+    site.nodes[leader].signal(Signal::KILL);
+    site.nodes[leader].wait_for_exit();
+    await_quarantine(&site, &path);
+    let since = Instant::now();
+    site.wait_until("the node knows the request", |site| !quarantined(site, follower).is_empty());
+    assert!(since.elapsed() < LEARN_TIME, "{:?}", since.elapsed());
+    assert_refused(&site, follower, &path, &servers);
+}
