--- a/savoryport/src/node/routing_state.rs
+++ b/savoryport/src/node/routing_state.rs
@@ -40,7 +40,7 @@
     pub request_quarantine: RequestQuarantine,
     /// Running averages of the speeds of models and servers.
     pub speeds: SpeedEstimates,
-    /// What servers told of themselves in their answers.
+    /// What servers announced in their answers.
     pub notices: ServerNotices,
     /// The request rates that servers in need name.
     pub limits: LimitBook,
--- a/savoryport/src/node/server_response.rs
+++ b/savoryport/src/node/server_response.rs
@@ -75,7 +75,7 @@
         }
     }
 
-    /// Records what an answer tells of its server. Bytes that may be nobody's answer tell nothing.
+    /// Records what the server announces in an answer. Bytes that may be nobody's answer do not count.
     pub(super) fn record_notices(
         &self,
         selected: &SelectedServer,
@@ -96,7 +96,7 @@
         if is_news {
             log::info!(
                 request = &*self.head.id, server = &*server.id, incarnation = server.incarnation;
-                "server tells that it leaves"
+                "server announces that it leaves"
             );
         }
         if let Some(pause) = pause {
--- a/savoryport/tests/node_leaving_servers.rs
+++ b/savoryport/tests/node_leaving_servers.rs
@@ -1,4 +1,4 @@
-//! Servers that tell in their answers that they leave, tested with real node processes.
+//! Servers that announce in their answers that they leave, tested with real node processes.
 
 mod node_site;
 
@@ -7,7 +7,7 @@
 use node_site::{NodeSite, RequestKind};
 use savoryport_standin::backend::BackendStandin;
 
-/// The users' bound on the time in which a node goes on using a server that has told that it leaves.
+/// The users' bound on the time in which a node goes on using a server that has announced that it leaves.
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
 
 /// Returns how many requests reached the server in a time.
@@ -33,7 +33,7 @@
 }
 
 #[test]
-fn server_that_tells_of_its_leaving_in_answers_gets_no_requests_though_it_is_registered() {
+fn server_that_announces_its_leaving_in_answers_gets_no_requests_though_it_is_registered() {
     let site = NodeSite::start(2);
     let leaving = site.server("plain-0");
     assert_eq!(send_for(&site, "before", Duration::from_millis(300)), 0);
--- a/savoryport_core/src/node/server_notices.rs
+++ b/savoryport_core/src/node/server_notices.rs
@@ -1,11 +1,11 @@
-//! What servers tell of themselves in their answers: that they leave, or want no requests for a while.
+//! What servers announce in their answers: that they leave, or want no requests for a while.
 //!
 //! Load pattern, pauses: a server that is full refuses requests with the time for which it wants none.
 //! Each request that it gets meanwhile is refused too, and has used up an attempt and a retry.
 //!
-//! Load pattern, leaving: a server tells in an answer that it leaves, before its entry in the registry says
-//! so, or although the entry says otherwise again after an outage of the store. Requests that it still
-//! gets are cut off when it goes.
+//! Load pattern, leaving: a server announces in an answer that it leaves, before its entry in the
+//! registry says so, or although the entry says otherwise again after an outage of the store. Requests
+//! that it still gets are cut off when it goes.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -15,7 +15,7 @@
 /// The longest pause that a server gets. One that asks for more is tried again after this time.
 const MAX_PAUSE: Duration = Duration::from_secs(600);
 
-/// What each server has told, for its current incarnation.
+/// What each server has announced, for its current incarnation.
 #[derive(Debug, Clone, Default)]
 pub struct ServerNotices {
     servers: HashMap<Name, Notice>,
@@ -29,7 +29,7 @@
 }
 
 impl ServerNotices {
-    /// Records that a server told that it leaves; returns whether that is news.
+    /// Records that a server announced that it leaves; returns whether that is news.
     pub fn record_leaving(&mut self, server: &Name, incarnation: u64) -> bool {
         let notice = self.notice_mut(server, incarnation);
         !std::mem::replace(&mut notice.is_leaving, true)
@@ -43,8 +43,8 @@
         notice.paused_until = notice.paused_until.max(Some(until));
     }
 
-    /// Returns whether the server takes requests, as far as it has told. A server that has started
-    /// again has told nothing yet.
+    /// Returns whether the server takes requests, as far as it has announced. A server that has
+    /// started again has announced nothing yet.
     pub fn allow(&self, server: &str, incarnation: u64, now: Instant) -> bool {
         self.notice(server, incarnation).is_none_or(|notice| {
             !notice.is_leaving && notice.paused_until.is_none_or(|until| now >= until)
--- a/savoryport_core/tests/request_quarantine.rs
+++ b/savoryport_core/tests/request_quarantine.rs
@@ -268,7 +268,7 @@
 }
 
 /// Plays a minute in steps of 5 ms: a deadly request twice a second, and 30 sound ones a second, of
-/// which each runs for 15 ms and comes back after a failure until its caller gives up after 4 s.
+/// which each runs for 15 ms and is repeated after a failure until its caller gives up after 4 s.
 /// Three servers crash 40 ms into the deadly request and are back 3 s later under new ids.
 fn play_spell(node_count: usize, exchange_ms: u64, is_idempotent: bool, seed: u64) -> Spell {
     const STEP_MS: u64 = 5;
--- a/savoryport_core/tests/server_notices.rs
+++ b/savoryport_core/tests/server_notices.rs
@@ -1,4 +1,4 @@
-//! What servers tell of themselves: which requests they still get.
+//! What servers announce of themselves, and which requests they still get.
 
 use std::time::{Duration, Instant};
 
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -88,7 +88,7 @@
     fault: BackendFault,
     /// The value of the `Server-Limit` header in responses.
     limit: Option<String>,
-    /// Whether responses tell that the server leaves.
+    /// Whether responses announce that the server leaves.
     is_leaving: bool,
     /// The value of the `Retry-After` header in refusals.
     retry_after: Option<String>,
@@ -177,7 +177,7 @@
         self.lock().limit = limit.map(str::to_owned);
     }
 
-    /// Tells in all responses to requests from now on that the server leaves.
+    /// Announces in all responses to requests from now on that the server leaves.
     pub fn announce_leaving(&self) {
         self.lock().is_leaving = true;
     }
@@ -275,7 +275,7 @@
 }
 
 impl State {
-    /// Returns the header lines by which the server tells of its own condition in all responses.
+    /// Returns the header lines by which the server announces its condition in all responses.
     fn notice_headers(&self) -> String {
         let limit = self.limit.as_ref().map(|limit| format!("Server-Limit: {limit}\r\n"));
         let leaving = if self.is_leaving { "Server-Leaving: 1\r\n" } else { "" };
