Replace settings files of test processes as a whole

Cause: the test site wrote the same settings file twice, once before the control process started and once more before the entry started. The second write truncates the file first, and the control process of node-1 read it in between. Its log in that run says so: "node-1.json: not a JSON object: EOF while parsing a value at line 1 column 0". It ended, and nothing starts it again in a test. No code of the daemons takes part; a platform starts such a process again.

Change: both test sites write a new file and rename it over the old one, by one function of the stand-ins.

--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -13,7 +13,7 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 use savoryport_standin::backend::{BackendConfig, BackendFault, BackendStandin};
-use savoryport_standin::fleet::free_address;
+use savoryport_standin::fleet::{free_address, write_settings};
 use savoryport_standin::metadata::MetadataStandin;
 use savoryport_standin::proxy::Proxy;
 use savoryport_standin::raw_engine::{RawEngine, RawEngineConfig, RawEngineFault};
@@ -405,8 +405,7 @@
 impl SiteNode {
     /// Starts the process. Only the first call has the setting `first_start`.
     pub fn start(&mut self) {
-        std::fs::write(&self.settings_file, self.settings.to_string())
-            .expect("the settings file is writable");
+        write_settings(&self.settings_file, &self.settings);
         self.settings["first_start"] = false.into();
         let mut child = Command::new(env!("CARGO_BIN_EXE_savoryport-node"))
             .arg("--settings")
--- a/savoryport/tests/site/mod.rs
+++ b/savoryport/tests/site/mod.rs
@@ -13,7 +13,7 @@
 use savoryport::cli::table::{self, Options};
 use savoryport_core::fleet::{Vm, VmList, VmRole};
 use savoryport_standin::engine::{EngineConfig, EngineStandin};
-use savoryport_standin::fleet::{LocalFleet, free_address};
+use savoryport_standin::fleet::{LocalFleet, free_address, write_settings};
 use savoryport_standin::proxy::Proxy;
 use savoryport_standin::vm_list::VmListStandin;
 use serde_json::{Value, json};
@@ -304,7 +304,7 @@
 
 impl Node {
     fn start(&self, program: &str) -> Child {
-        std::fs::write(&self.settings_file, self.settings.to_string()).unwrap();
+        write_settings(&self.settings_file, &self.settings);
         let log = self.settings_file.with_extension("log");
         let log = std::fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
         Command::new(program)
--- a/savoryport_standin/src/fleet.rs
+++ b/savoryport_standin/src/fleet.rs
@@ -1,5 +1,6 @@
 //! A complete set of stand-ins on loopback addresses, for demonstrations and tests.
 
+use std::path::Path;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
@@ -90,6 +91,18 @@
     }
 }
 
+/// Writes the settings file of a daemon, or replaces it as a whole, because another daemon that
+/// uses the same file may be reading it.
+///
+/// # Panics
+///
+/// Panics if the file can't be written.
+pub fn write_settings(path: &Path, settings: &Value) {
+    let new_file = path.with_extension("new");
+    std::fs::write(&new_file, settings.to_string()).expect("the directory is writable");
+    std::fs::rename(&new_file, path).expect("the settings file can be replaced");
+}
+
 /// Returns a loopback address for a daemon to listen on.
 ///
 /// A port that was found free on 127.0.0.1 may meanwhile be taken by an outgoing connection of any
