Test requests that each server closes or leaves unanswered, and a loss of power

The postmortem of the request that crashes each server lists three members of its class without a test.

--- a/savoryport/tests/node_deadly_requests.rs
+++ b/savoryport/tests/node_deadly_requests.rs
@@ -5,9 +5,10 @@
 
 use std::process::Command;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use node_site::{CallerResponse, NodeSite, post};
+use node_site::{CallerResponse, NodeSite, SiteNode, post};
 use rustix::process::Signal;
 use savoryport_standin::proxy::Faults;
 use savoryport_standin::raw_engine::{RawEngine, RawEngineFault};
@@ -28,20 +29,23 @@
 
 /// Starts nodes, and three servers that crash on the request with this path.
 fn start(nodes: usize, deadly_path: &str) -> (NodeSite, Vec<RawEngine>) {
-    start_in_domains(&["east-a"], nodes, deadly_path)
+    start_in_domains(&["east-a"], nodes, crashes_on(deadly_path))
 }
 
-/// Starts as many nodes in each of these failure domains.
+fn crashes_on(path: &str) -> RawEngineFault {
+    RawEngineFault::CrashesOnPath { path: path.to_owned(), downtime: DOWNTIME }
+}
+
+/// Starts as many nodes in each of these failure domains, and three servers with the fault.
 fn start_in_domains(
     domains: &[&'static str],
     nodes: usize,
-    deadly_path: &str,
+    fault: RawEngineFault,
 ) -> (NodeSite, Vec<RawEngine>) {
     let mut site = NodeSite::start_in_domains(domains, nodes);
     site.plain_services.push(SERVICE);
     site.write_config();
     let ids: Vec<String> = (0..3).map(|number| format!("fragile-{number}")).collect();
-    let fault = RawEngineFault::CrashesOnPath { path: deadly_path.to_owned(), downtime: DOWNTIME };
     let servers = ids.iter().map(|id| site.start_raw_server(id, SERVICE, fault.clone())).collect();
     site.wait_for_servers(&ids.iter().map(String::as_str).collect::<Vec<_>>());
     site.wait_until("every node serves the service", |site| {
@@ -223,7 +227,7 @@
 #[test]
 fn follower_without_its_leader_and_the_store_learns_of_the_request() {
     let path = format!("/{SERVICE}-lookup/deadly");
-    let (mut site, servers) = start_in_domains(&["east-a", "west-a"], 2, &path);
+    let (mut site, servers) = start_in_domains(&["east-a", "west-a"], 2, crashes_on(&path));
     let leads = |node: usize| {
         let duties = site.nodes[node].status_json()["duties"].clone();
         duties.as_array().is_some_and(|duties| !duties.is_empty())
@@ -239,3 +243,80 @@
     assert!(since.elapsed() < LEARN_TIME, "{:?}", since.elapsed());
     assert_refused(&site, follower, &path, &servers);
 }
+
+/// Sends a request that triggers the fault ten times a second beside sound ones; returns the share
+/// of these that are served.
+fn share_served_beside(fault: RawEngineFault, kind: &str, path: &str) -> f64 {
+    const COUNT: usize = 160;
+    let (site, servers) = start_in_domains(&["east-a"], 3, fault);
+    let served = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for number in 0..COUNT {
+            let (site, served) = (&site, &served);
+            scope.spawn(move || {
+                served.fetch_add(send_sound(site, kind, number).into(), Ordering::Relaxed)
+            });
+            if number % 2 == 0 {
+                let node = &site.nodes[number / 2 % 3].callers;
+                let id = format!("faulty-{number}");
+                scope.spawn(move || post(node, &id, path, "the faulty body"));
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    });
+    let arrivals: usize = servers.iter().map(|server| server.deadly_arrivals().len()).sum();
+    let served = served.into_inner();
+    println!("{served} of {COUNT} sound ones, {arrivals} arrivals");
+    assert!(arrivals >= COUNT / 2);
+    served as f64 / COUNT as f64
+}
+
+#[test]
+fn request_at_which_each_server_closes_its_connection_takes_no_server_from_others() {
+    for kind in ["lookup", "commit"] {
+        let path = format!("/{SERVICE}-{kind}/closes");
+        let fault = RawEngineFault::ClosesOnPath { path: path.clone() };
+        let share = share_served_beside(fault, kind, &path);
+        assert!(share > 0.95, "{share} served beside {kind}");
+    }
+}
+
+#[test]
+fn request_that_each_server_leaves_unanswered_takes_no_server_from_others() {
+    for kind in ["lookup", "commit"] {
+        let path = format!("/{SERVICE}-{kind}/hangs");
+        let fault = RawEngineFault::HangsOnPath { path: path.clone() };
+        let share = share_served_beside(fault, kind, &path);
+        assert!(share > 0.95, "{share} served beside {kind}");
+    }
+}
+
+#[test]
+fn after_a_loss_of_power_everywhere_the_request_reaches_few_servers_again() {
+    let path = format!("/{SERVICE}-lookup/deadly");
+    let (mut site, servers) = start(3, &path);
+    await_quarantine(&site, &path);
+    let arrivals = || servers.iter().map(|server| server.deadly_arrivals().len()).sum::<usize>();
+    let before = arrivals();
+    for node in &mut site.nodes {
+        node.signal(Signal::KILL);
+        node.wait_for_exit();
+    }
+    site.nodes.iter_mut().for_each(SiteNode::start);
+    site.wait_until("every node is ready", |site| site.nodes.iter().all(SiteNode::is_ready));
+    std::thread::sleep(DOWNTIME);
+    send_deadly(&site, &path);
+    let again = arrivals() - before;
+    println!("{before} arrivals before the loss, {again} after it");
+    assert!(again <= MAX_LATER_ARRIVALS, "{again} arrivals after the loss of power");
+}
+
+#[test]
+fn caller_whose_request_crashed_servers_is_not_refused_as_if_it_had_not_run() {
+    let path = format!("/{SERVICE}-lookup/deadly");
+    let (site, servers) = start(1, &path);
+    let first = post(&site.nodes[0].callers, "deadly", &path, "the deadly body");
+    let crashes: usize = servers.iter().map(|server| server.crashes().len()).sum();
+    assert_eq!((first.status, crashes), (502, 2));
+    assert_refused(&site, 0, &path, &servers);
+}
--- a/savoryport_standin/src/raw_engine.rs
+++ b/savoryport_standin/src/raw_engine.rs
@@ -63,6 +63,16 @@
         /// The time from a crash to the restart.
         downtime: Duration,
     },
+    /// Closes the connection a while after it began to run a request with this path.
+    ClosesOnPath {
+        /// The path of the request.
+        path: String,
+    },
+    /// Never answers a request with this path.
+    HangsOnPath {
+        /// The path of the request.
+        path: String,
+    },
 }
 
 /// The time from a crash to the restart, if the fault does not name another one.
@@ -78,7 +88,7 @@
     incarnation: u64,
     runs_by_request: HashMap<String, u32>,
     accepted_orders: u64,
-    /// When a request that crashes the server arrived.
+    /// When requests that trigger the fault arrived.
     deadly_arrivals: Vec<Instant>,
     crashes: Vec<Instant>,
     /// The end of the downtime after a crash, and whether the listener has to be replaced.
@@ -128,7 +138,7 @@
         self.shared.crash();
     }
 
-    /// Returns when requests that crash the server arrived, oldest first.
+    /// Returns when requests that trigger the fault arrived, oldest first.
     pub fn deadly_arrivals(&self) -> Vec<Instant> {
         self.shared.lock().deadly_arrivals.clone()
     }
@@ -286,7 +296,9 @@
                 let mut parts = header("x-prompt-prefix").split(',');
                 parts.any(|listed| listed.split(':').next() == Some(part))
             }
-            RawEngineFault::CrashesOnPath { path, .. } => head.path == *path,
+            RawEngineFault::CrashesOnPath { path, .. }
+            | RawEngineFault::ClosesOnPath { path }
+            | RawEngineFault::HangsOnPath { path } => head.path == *path,
             _ => false,
         };
         if is_deadly {
@@ -335,8 +347,15 @@
         stream: &mut TcpStream,
     ) -> bool {
         if is_deadly {
-            thread::sleep(CRASH_DELAY);
-            self.crash();
+            match self.cfg.fault {
+                // Returns when the client closes the connection.
+                RawEngineFault::HangsOnPath { .. } => _ = stream.read(&mut [0]),
+                RawEngineFault::ClosesOnPath { .. } => thread::sleep(CRASH_DELAY),
+                _ => {
+                    thread::sleep(CRASH_DELAY);
+                    self.crash();
+                }
+            }
             return false;
         }
         thread::sleep(self.cfg.event_interval);
