Warn of a server whose time to wait can't be read

A refusal with a Retry-After that is no decimal number was ignored in silence, so that an operator could not see why a server got requests that it had asked to be spared. The adapter now tells "none" from "unreadable", and a node warns once for each incarnation of the server.

A pause of zero is readable and asks for nothing, as before.

--- a/savoryport/src/node/server_response.rs
+++ b/savoryport/src/node/server_response.rs
@@ -8,8 +8,8 @@
 use hyper::body::Incoming;
 use hyper::{HeaderMap, StatusCode};
 use savoryport_adapter::servers::{
-    ResponseKind, is_leaving, keep_alive_timeout, promises_not_run, requested_pause,
-    strip_connection_headers,
+    RequestedPause, ResponseKind, is_leaving, keep_alive_timeout, promises_not_run,
+    requested_pause, strip_connection_headers,
 };
 use savoryport_core::Name;
 use savoryport_core::node::health::ServerOutcome;
@@ -85,27 +85,40 @@
             return;
         }
         let (server, now) = (&selected.server, self.cx.now());
+        let (id, incarnation) = (&server.id, server.incarnation);
+        let pause = requested_pause(status, headers);
         let mut routing = self.cx.routing.lock();
         let notices = &mut routing.notices;
-        let is_news = is_leaving(headers) && notices.record_leaving(&server.id, server.incarnation);
-        let pause = requested_pause(status, headers);
-        if let Some(pause) = pause {
-            notices.record_pause(&server.id, server.incarnation, pause, now);
-        }
+        let is_news = is_leaving(headers) && notices.record_leaving(id, incarnation);
+        let warns = match pause {
+            RequestedPause::None => false,
+            RequestedPause::For(pause) => {
+                notices.record_pause(id, incarnation, pause, now);
+                false
+            }
+            RequestedPause::Unreadable => notices.record_unreadable_pause(id, incarnation),
+        };
         drop(routing);
+        let request = &*self.head.id;
         if is_news {
             log::info!(
-                request = &*self.head.id, server = &*server.id, incarnation = server.incarnation;
+                request = request, server = &**id, incarnation = incarnation;
                 "server announces that it leaves"
             );
         }
-        if let Some(pause) = pause {
+        if let RequestedPause::For(pause) = pause {
             log::info!(
-                request = &*self.head.id, server = &*server.id,
+                request = request, server = &**id,
                 pause_ms = pause.as_millis().min(u128::from(u64::MAX)) as u64;
                 "server wants no requests"
             );
         }
+        if warns {
+            log::warn!(
+                request = request, server = &**id, incarnation = incarnation;
+                "unreadable time to wait of a server"
+            );
+        }
     }
 
     /// Records that the server does not hold the model or is full, so that requests avoid it for a
--- a/savoryport/tests/node_paused_servers.rs
+++ b/savoryport/tests/node_paused_servers.rs
@@ -91,4 +91,8 @@
             site.send(0, &format!("after-{number}"), RequestKind::Idempotent).status == 200
         });
     }
+    let log_lines = site.nodes[0].log_lines.lock().unwrap();
+    let warning = "unreadable time to wait of a server";
+    let warnings = log_lines.iter().filter(|line| line.contains(warning)).count();
+    assert!((1..=3).contains(&warnings), "{warnings} warnings of three servers");
 }
--- a/savoryport_core/src/node/server_notices.rs
+++ b/savoryport_core/src/node/server_notices.rs
@@ -26,6 +26,7 @@
     incarnation: u64,
     is_leaving: bool,
     paused_until: Option<Instant>,
+    has_unreadable_pause: bool,
 }
 
 impl ServerNotices {
@@ -43,6 +44,13 @@
         notice.paused_until = notice.paused_until.max(Some(until));
     }
 
+    /// Records that a server asked for a pause whose length can't be read; returns whether that is
+    /// news.
+    pub fn record_unreadable_pause(&mut self, server: &Name, incarnation: u64) -> bool {
+        let notice = self.notice_mut(server, incarnation);
+        !std::mem::replace(&mut notice.has_unreadable_pause, true)
+    }
+
     /// Returns whether the server takes requests, as far as it has announced. A server that has
     /// started again has announced nothing yet.
     pub fn allow(&self, server: &str, incarnation: u64, now: Instant) -> bool {
