--- a/savoryport/tests/node_deadly_requests.rs
+++ b/savoryport/tests/node_deadly_requests.rs
@@ -224,10 +224,11 @@
     status["quarantine"][0]["request"].as_str().unwrap_or_default().to_owned()
 }
 
-#[test]
-fn follower_without_its_leader_and_the_store_learns_of_the_request() {
+/// Cuts a node off from the store, ends or freezes the leader of its failure domain, and asserts
+/// that it learns of the request from another domain.
+fn assert_follower_learns(leader_signal: Signal) {
     let path = format!("/{SERVICE}-lookup/deadly");
-    let (mut site, servers) = start_in_domains(&["east-a", "west-a"], 2, crashes_on(&path));
+    let (site, servers) = start_in_domains(&["east-a", "west-a"], 2, crashes_on(&path));
     let leads = |node: usize| {
         let duties = site.nodes[node].status_json()["duties"].clone();
         duties.as_array().is_some_and(|duties| !duties.is_empty())
@@ -235,15 +236,25 @@
     let (leader, follower) = if leads(2) { (2, 3) } else { (3, 2) };
     let cut = Faults { refuse: true, pause: true, ..Faults::default() };
     site.nodes[follower].store_proxy.set_faults(|faults| *faults = cut);
-    site.nodes[leader].signal(Signal::KILL);
-    site.nodes[leader].wait_for_exit();
+    site.nodes[leader].signal(leader_signal);
     await_quarantine(&site, &path);
     let since = Instant::now();
     site.wait_until("the node knows the request", |site| !quarantined(site, follower).is_empty());
+    println!("learned after {:?}", since.elapsed());
     assert!(since.elapsed() < LEARN_TIME, "{:?}", since.elapsed());
     assert_refused(&site, follower, &path, &servers);
 }
 
+#[test]
+fn follower_without_its_leader_and_the_store_learns_of_the_request() {
+    assert_follower_learns(Signal::KILL);
+}
+
+#[test]
+fn follower_of_a_frozen_leader_without_the_store_learns_of_the_request() {
+    assert_follower_learns(Signal::STOP);
+}
+
 /// Sends a request that triggers the fault ten times a second beside sound ones; returns the share
 /// of these that are served.
 fn share_served_beside(fault: RawEngineFault, kind: &str, path: &str) -> f64 {
