Have fewer loads under way while they slow each other down

Cause: requests for rare models kept 17 of 18 servers loading. The store serves fewer loads at full speed, so that each took 7 to 9 s in place of 4 s, and the models with the new demand waited for a free server before their own slow load. Ruled out: the bound on starts of loads (it allowed more) and the delay of the decision (made in the round in which a server became free).

Change: each domain derives from the time of its own loads how many it may have under way. A load that is worth much more than these does not wait.

--- a/savoryport/src/node/engine.rs
+++ b/savoryport/src/node/engine.rs
@@ -11,8 +11,9 @@
 use savoryport_adapter::engine;
 use savoryport_core::Name;
 use savoryport_core::node::deployment::EngineClass;
+use savoryport_core::node::load_concurrency::is_slow_load;
 use savoryport_core::node::orders::{EngineContents, Order, OrderAnswer, OrderError};
-use savoryport_core::node::placement::{Move, load_time};
+use savoryport_core::node::placement::{Move, WeightSource, load_time};
 use savoryport_core::node::registry::{BackendServer, ResidentModel};
 use tokio::sync::{mpsc, oneshot};
 
@@ -81,19 +82,38 @@
     contents: Arc<Mutex<EngineContents>>,
     /// The move in progress.
     current_move: Arc<Mutex<Option<Move>>>,
+    /// The loads from the weight store that have ended or turned out to be slow.
+    observed_loads: Arc<Mutex<Vec<ObservedLoad>>>,
+}
+
+/// A load from the weight store that has ended or turned out to be slow.
+#[derive(Debug, Clone, Copy)]
+pub struct ObservedLoad {
+    /// The time that it has taken so far.
+    pub elapsed: Duration,
+    /// The time that it takes if few others are under way.
+    pub expected: Duration,
+    /// Whether it has ended.
+    pub is_done: bool,
 }
 
 impl EngineHandle {
     /// Starts the task of an engine.
     pub fn start(cx: &Arc<NodeContext>, controller: &Arc<DomainController>, server: &Name) -> Self {
         let (commands, rx) = mpsc::unbounded_channel();
-        let handle = Self { commands, contents: Arc::default(), current_move: Arc::default() };
+        let handle = Self {
+            commands,
+            contents: Arc::default(),
+            current_move: Arc::default(),
+            observed_loads: Arc::default(),
+        };
         let task = EngineTask {
             cx: cx.clone(),
             controller: controller.clone(),
             server: server.clone(),
             contents: handle.contents.clone(),
             current_move: handle.current_move.clone(),
+            observed_loads: handle.observed_loads.clone(),
             draining: None,
             loading: None,
             withdrawn: Vec::new(),
@@ -120,6 +140,13 @@
         self.current_move.lock().expect("no thread panics while holding the lock").clone()
     }
 
+    /// Returns the loads from the weight store that were observed since the last call.
+    pub fn take_observed_loads(&self) -> Vec<ObservedLoad> {
+        let mut observed =
+            self.observed_loads.lock().expect("no thread panics while holding the lock");
+        std::mem::take(&mut observed)
+    }
+
     /// Locks the known contents of the engine.
     pub fn contents(&self) -> MutexGuard<'_, EngineContents> {
         self.contents.lock().expect("no thread panics while holding the lock")
@@ -137,8 +164,11 @@
 #[derive(Debug)]
 struct Loading {
     model: Name,
+    source: WeightSource,
     since: Instant,
     expected: Duration,
+    /// Whether it has been observed to be slow.
+    is_slow: bool,
 }
 
 struct EngineTask {
@@ -147,6 +177,7 @@
     server: Name,
     contents: Arc<Mutex<EngineContents>>,
     current_move: Arc<Mutex<Option<Move>>>,
+    observed_loads: Arc<Mutex<Vec<ObservedLoad>>>,
     draining: Option<Draining>,
     loading: Option<Loading>,
     /// Models that get no new requests because they are about to be unloaded.
@@ -410,8 +441,9 @@
         if self.send_until_accepted(&order, expected * LOAD_TIMEOUT_FACTOR).await?
             == OrderAnswer::Accepted
         {
-            let model = planned.load.clone();
-            self.loading = Some(Loading { model, since: self.cx.now(), expected });
+            let (model, source) = (planned.load.clone(), planned.source);
+            self.loading =
+                Some(Loading { model, source, since: self.cx.now(), expected, is_slow: false });
         } else {
             self.end_move();
         }
@@ -444,6 +476,20 @@
         Err(OrderError::Busy)
     }
 
+    /// Reports a load from the weight store to the planner when it has ended, and before that once if
+    /// it is slow.
+    fn observe_load(&mut self, is_done: bool) {
+        let Some(loading) = &mut self.loading else { return };
+        let (elapsed, expected) = (self.cx.now() - loading.since, loading.expected);
+        let turned_slow = !loading.is_slow && is_slow_load(elapsed, expected);
+        if loading.source == WeightSource::Store && (is_done || turned_slow) {
+            loading.is_slow |= turned_slow;
+            let mut observed =
+                self.observed_loads.lock().expect("no thread panics while holding the lock");
+            observed.push(ObservedLoad { elapsed, expected, is_done });
+        }
+    }
+
     /// Checks whether the server has finished the load in progress.
     async fn check_load(&mut self) {
         let Some(loading) = &self.loading else { return };
@@ -461,6 +507,7 @@
         self.cx.metrics.engine_reports.inc();
         let is_done = !report.is_busy && report.models.contains_key(&model);
         let restarted = report.incarnation != self.contents().incarnation();
+        self.observe_load(is_done);
         if is_done || overdue || restarted {
             log::info!(
                 server = &*self.server, model = &*model, done = is_done,
--- a/savoryport/src/node/planner.rs
+++ b/savoryport/src/node/planner.rs
@@ -7,6 +7,7 @@
 
 use savoryport_core::Name;
 use savoryport_core::node::deployment::EngineClass;
+use savoryport_core::node::load_concurrency::LoadConcurrencyLimiter;
 use savoryport_core::node::placement::{
     DemandAverage, LoadRateLimiter, MissingModel, Move, NeighbourDomain, PlacementInput,
     PlacementServer, WeightSource, next_move, restoring_domain,
@@ -16,7 +17,7 @@
 
 use super::context::NodeContext;
 use super::domain_controller::DomainController;
-use super::engine::EngineCommand;
+use super::engine::{EngineCommand, EngineHandle, ObservedLoad};
 use super::view::FleetView;
 
 /// How long a request for a model that no server holds counts as demand.
@@ -39,6 +40,7 @@
     /// The average demand of the domain's callers for each model.
     pub demand: DemandAverage,
     load_limiter: Option<LoadRateLimiter>,
+    load_concurrency: LoadConcurrencyLimiter,
     /// Models that no server holds, with the time since when.
     missing_since: HashMap<Name, Instant>,
     /// Models that requests wait for, with the time of the latest request.
@@ -101,6 +103,7 @@
         planner.demand.observe(&work, now);
     }
     planner.wanted_models.retain(|_, at| now.saturating_duration_since(*at) < REQUEST_LIFETIME);
+    planner.record_observed_loads(controller);
     let holders = holders_by_model(view, service);
     let missing = planner.missing_models(view, service, class, &controller.domain, &holders, now);
     let demand = planner.demand_with_waiting();
@@ -220,6 +223,23 @@
         Some(wait)
     }
 
+    fn record_observed_loads(&mut self, controller: &DomainController) {
+        let engines = controller.engines();
+        let observed: Vec<ObservedLoad> =
+            engines.values().flat_map(EngineHandle::take_observed_loads).collect();
+        let ended = observed.iter().filter(|load| load.is_done).count();
+        let under_way = ended + engines.values().filter_map(store_load_value).count();
+        let former_limit = self.load_concurrency.limit();
+        for load in &observed {
+            self.load_concurrency.record_load(load.elapsed, load.expected, under_way);
+        }
+        if let Some(limit) = self.load_concurrency.limit()
+            && former_limit != Some(limit)
+        {
+            log::info!(domain = &*controller.domain, limit = limit; "limit of loads at once");
+        }
+    }
+
     fn choose_move(
         &mut self,
         cx: &NodeContext,
@@ -230,6 +250,9 @@
         let now = cx.now();
         let store_load_allowed =
             self.load_limiter(cx, class, &controller.domain).may_start_load(now);
+        let under_way: SmallVec<[f64; 8]> =
+            controller.engines().values().filter_map(store_load_value).collect();
+        let least_store_value = self.load_concurrency.least_value(&under_way);
         let no_loads = HashMap::new();
         let options: Vec<PlacementServer<'_>> = servers
             .iter()
@@ -274,6 +297,7 @@
             demand_is_known: self.demand.is_settled(now),
             neighbours,
             store_load_allowed,
+            least_store_value,
             now,
         };
         next_move(&input)
@@ -291,6 +315,12 @@
     }
 }
 
+/// Returns the value of the engine's move if it loads from the weight store.
+fn store_load_value(engine: &EngineHandle) -> Option<f64> {
+    let planned = engine.current_move()?;
+    (planned.source == WeightSource::Store).then_some(planned.value)
+}
+
 /// Returns the other failure domains in the same region, with their demand and copies.
 fn neighbours(
     cx: &NodeContext,
--- /dev/null
+++ b/savoryport_core/src/node/load_concurrency.rs
@@ -0,0 +1,66 @@
+//! Limits how many loads from the weight store a failure domain has under way.
+//!
+//! Load pattern: requests for many rare models keep all servers of a small fleet loading. The store
+//! serves only some loads at once at full speed, and how many is not announced: beyond that number
+//! all of them slow down, so that one more ends no load sooner. It only evicts a copy earlier, and
+//! takes a server at which a model with much demand would have to wait.
+//!
+//! The store's share is estimated from the time that loads take. A load that is much more valuable
+//! than the others does not wait.
+
+use std::time::Duration;
+
+/// A load that takes this many times as long as it does alone shows that too many are under way.
+const SLOW_FACTOR: f64 = 1.4;
+
+/// A load that takes less than this many times as long shows that the store could serve another one.
+const FAST_FACTOR: f64 = 1.15;
+
+/// A load starts beyond the limit if its value is at least this many times that of the least
+/// valuable one under way.
+const URGENT_FACTOR: f64 = 1.5;
+
+/// Returns whether a load shows that too many are under way.
+pub fn is_slow_load(elapsed: Duration, expected: Duration) -> bool {
+    slow_down(elapsed, expected) >= SLOW_FACTOR
+}
+
+fn slow_down(elapsed: Duration, expected: Duration) -> f64 {
+    elapsed.as_secs_f64() / expected.as_secs_f64().max(1e-3)
+}
+
+/// The limit of one domain, which holds for loads from the weight store.
+#[derive(Debug, Clone, Default)]
+pub struct LoadConcurrencyLimiter {
+    /// The number of loads; `None` while no load has been slow.
+    limit: Option<usize>,
+}
+
+impl LoadConcurrencyLimiter {
+    /// Records a load that has taken `elapsed` so far, and alone takes `expected`, with the number of
+    /// the domain's loads that are under way, itself included.
+    pub fn record_load(&mut self, elapsed: Duration, expected: Duration, under_way: usize) {
+        let factor = slow_down(elapsed, expected);
+        if factor >= SLOW_FACTOR {
+            let sustainable = (under_way as f64 / factor).round().max(1.0) as usize;
+            self.limit = Some(self.limit.map_or(sustainable, |limit| limit.min(sustainable)));
+        } else if factor < FAST_FACTOR && self.limit.is_some_and(|limit| under_way >= limit) {
+            self.limit = self.limit.map(|limit| limit + 1);
+        }
+    }
+
+    /// Returns the number of loads that may be under way; `None` if there is no limit.
+    pub fn limit(&self) -> Option<usize> {
+        self.limit
+    }
+
+    /// Returns the least value that a further load needs, given the values of those under way.
+    pub fn least_value(&self, under_way: &[f64]) -> f64 {
+        match self.limit {
+            Some(limit) if under_way.len() >= limit => {
+                under_way.iter().copied().fold(f64::INFINITY, f64::min) * URGENT_FACTOR
+            }
+            _ => 0.0,
+        }
+    }
+}
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -10,6 +10,7 @@
 pub mod health;
 pub mod leadership;
 pub mod load;
+pub mod load_concurrency;
 pub mod orders;
 pub mod placement;
 pub mod prefix;
--- a/savoryport_core/src/node/placement.rs
+++ b/savoryport_core/src/node/placement.rs
@@ -137,6 +137,8 @@
     pub neighbours: &'a [NeighbourDomain],
     /// Whether a load from the weight store may start now.
     pub store_load_allowed: bool,
+    /// The least value of a copy that is loaded from the weight store, in servers.
+    pub least_store_value: f64,
     /// The current time.
     pub now: Instant,
 }
@@ -304,7 +306,8 @@
     let mut best: Option<(f64, Move)> = None;
     for server in candidates {
         let source = weight_source(server.server, model);
-        if source == WeightSource::Store && !input.store_load_allowed {
+        let store_allows = input.store_load_allowed && value >= input.least_store_value;
+        if source == WeightSource::Store && !store_allows {
             continue;
         }
         let is_requested = input.missing.get(model) == Some(&MissingModel::Requested);
--- a/savoryport_core/tests/node_decisions.rs
+++ b/savoryport_core/tests/node_decisions.rs
@@ -534,6 +534,7 @@
             demand_is_known: self.demand_is_known,
             neighbours: &self.neighbours,
             store_load_allowed,
+            least_store_value: 0.0,
             now: Instant::now(),
         };
         let chosen = next_move(&input)?;
