Take only two slow loads in a row for a store in demand

Found by reading the limit of loads at once: a server that carries out one order seconds late, or is slow itself, lowered its domain to one load at a time, though the store was idle. A store in demand slows down all loads, so two in a row have to be slow now.

The new test single_slow_server_limits_no_loads fails without the count.

--- a/savoryport_core/src/node/load_concurrency.rs
+++ b/savoryport_core/src/node/load_concurrency.rs
@@ -16,6 +16,10 @@
 /// A load that takes less than this many times as long shows that the store could serve another one.
 const FAST_FACTOR: f64 = 1.15;
 
+/// The number of slow loads in a row that lower the limit. A store in demand slows all loads down; a
+/// single slow load may be that of a slow server, or of one that carries out its order late.
+const SLOW_IN_A_ROW: u32 = 2;
+
 /// A load starts beyond the limit if its value is at least this many times that of the least
 /// valuable one under way.
 const URGENT_FACTOR: f64 = 1.5;
@@ -34,6 +38,8 @@
 pub struct LoadConcurrencyLimiter {
     /// The number of loads; `None` while no load has been slow.
     limit: Option<usize>,
+    /// The number of slow loads since the last one that was not slow.
+    slow_in_a_row: u32,
 }
 
 impl LoadConcurrencyLimiter {
@@ -41,7 +47,8 @@
     /// the domain's loads that are under way, itself included.
     pub fn record_load(&mut self, elapsed: Duration, expected: Duration, under_way: usize) {
         let factor = slow_down(elapsed, expected);
-        if factor >= SLOW_FACTOR {
+        self.slow_in_a_row = if factor >= SLOW_FACTOR { self.slow_in_a_row + 1 } else { 0 };
+        if self.slow_in_a_row >= SLOW_IN_A_ROW {
             let sustainable = (under_way as f64 / factor).round().max(1.0) as usize;
             self.limit = Some(self.limit.map_or(sustainable, |limit| limit.min(sustainable)));
         } else if factor < FAST_FACTOR && self.limit.is_some_and(|limit| under_way >= limit) {
--- a/savoryport_core/tests/load_concurrency.rs
+++ b/savoryport_core/tests/load_concurrency.rs
@@ -137,7 +137,9 @@
 #[test]
 fn limit_rises_again_when_loads_are_fast() {
     let mut limiter = LoadConcurrencyLimiter::default();
-    limiter.record_load(LOAD_TIME * 3, LOAD_TIME, 3);
+    for _ in 0..2 {
+        limiter.record_load(LOAD_TIME * 3, LOAD_TIME, 3);
+    }
     assert_eq!(limiter.least_value(&[]), 0.0, "one load always starts");
     assert!(limiter.least_value(&[RARE]) > RARE);
     assert!(limiter.least_value(&[RARE]) <= BUSY);
@@ -146,3 +148,13 @@
     }
     assert_eq!(limiter.least_value(&[RARE; 3]), 0.0);
 }
+
+#[test]
+fn single_slow_server_limits_no_loads() {
+    let mut limiter = LoadConcurrencyLimiter::default();
+    for _ in 0..5 {
+        limiter.record_load(LOAD_TIME * 5, LOAD_TIME, 4);
+        limiter.record_load(LOAD_TIME, LOAD_TIME, 4);
+    }
+    assert_eq!(limiter.limit(), None);
+}
