Count each slow load once

LoadWatch in the core now decides when a load is evidence: when it turns slow, or when it ends without that. single_slow_server_limits_no_loads plays a load that is observed on its way and at its end.

--- a/savoryport/src/node/engine.rs
+++ b/savoryport/src/node/engine.rs
@@ -11,7 +11,7 @@
 use savoryport_adapter::engine;
 use savoryport_core::Name;
 use savoryport_core::node::deployment::EngineClass;
-use savoryport_core::node::load_concurrency::is_slow_load;
+use savoryport_core::node::load_concurrency::LoadWatch;
 use savoryport_core::node::orders::{EngineContents, Order, OrderAnswer, OrderError};
 use savoryport_core::node::placement::{Move, WeightSource, load_time};
 use savoryport_core::node::registry::{BackendServer, ResidentModel};
@@ -166,9 +166,7 @@
     model: Name,
     source: WeightSource,
     since: Instant,
-    expected: Duration,
-    /// Whether it has been observed to be slow.
-    is_slow: bool,
+    watch: LoadWatch,
 }
 
 struct EngineTask {
@@ -224,7 +222,7 @@
             return Some(DRAIN_CHECK_INTERVAL);
         }
         let loading = self.loading.as_ref()?;
-        let left = loading.expected.saturating_sub(self.cx.now() - loading.since);
+        let left = loading.watch.expected.saturating_sub(self.cx.now() - loading.since);
         Some(left.max(REPORT_INTERVAL))
     }
 
@@ -442,8 +440,8 @@
             == OrderAnswer::Accepted
         {
             let (model, source) = (planned.load.clone(), planned.source);
-            self.loading =
-                Some(Loading { model, source, since: self.cx.now(), expected, is_slow: false });
+            let watch = LoadWatch::new(expected);
+            self.loading = Some(Loading { model, source, since: self.cx.now(), watch });
         } else {
             self.end_move();
         }
@@ -476,17 +474,15 @@
         Err(OrderError::Busy)
     }
 
-    /// Reports a load from the weight store to the planner when it has ended, and before that once if
-    /// it is slow.
+    /// Reports a load from the weight store to the planner, once.
     fn observe_load(&mut self, is_done: bool) {
         let Some(loading) = &mut self.loading else { return };
-        let (elapsed, expected) = (self.cx.now() - loading.since, loading.expected);
-        let turned_slow = !loading.is_slow && is_slow_load(elapsed, expected);
-        if loading.source == WeightSource::Store && (is_done || turned_slow) {
-            loading.is_slow |= turned_slow;
+        let elapsed = self.cx.now() - loading.since;
+        if loading.source == WeightSource::Store && loading.watch.is_evidence(elapsed, is_done) {
+            let load = ObservedLoad { elapsed, expected: loading.watch.expected, is_done };
             let mut observed =
                 self.observed_loads.lock().expect("no thread panics while holding the lock");
-            observed.push(ObservedLoad { elapsed, expected, is_done });
+            observed.push(load);
         }
     }
 
@@ -494,7 +490,7 @@
     async fn check_load(&mut self) {
         let Some(loading) = &self.loading else { return };
         let (model, since) = (loading.model.clone(), loading.since);
-        let overdue = self.cx.now() - since > loading.expected * LOAD_TIMEOUT_FACTOR;
+        let overdue = self.cx.now() - since > loading.watch.expected * LOAD_TIMEOUT_FACTOR;
         let Some((server, _)) = self.target() else {
             self.loading = None;
             self.end_move();
--- a/savoryport_core/src/node/load_concurrency.rs
+++ b/savoryport_core/src/node/load_concurrency.rs
@@ -24,9 +24,27 @@
 /// valuable one under way.
 const URGENT_FACTOR: f64 = 1.5;
 
-/// Returns whether a load shows that too many are under way.
-pub fn is_slow_load(elapsed: Duration, expected: Duration) -> bool {
-    slow_down(elapsed, expected) >= SLOW_FACTOR
+/// Decides when a load that is under way shows how busy the store is.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadWatch {
+    /// The time that the load takes if few others are under way.
+    pub expected: Duration,
+    is_known_slow: bool,
+}
+
+impl LoadWatch {
+    /// Watches a load that takes `expected` if few others are under way.
+    pub fn new(expected: Duration) -> Self {
+        Self { expected, is_known_slow: false }
+    }
+
+    /// Returns whether the limiter has to know of the load now: when it turns out to be slow, or when
+    /// it has ended without that. So each load counts once.
+    pub fn is_evidence(&mut self, elapsed: Duration, is_done: bool) -> bool {
+        let is_slow = slow_down(elapsed, self.expected) >= SLOW_FACTOR;
+        let was_known_slow = std::mem::replace(&mut self.is_known_slow, is_slow);
+        !was_known_slow && (is_slow || is_done)
+    }
 }
 
 fn slow_down(elapsed: Duration, expected: Duration) -> f64 {
--- a/savoryport_core/tests/load_concurrency.rs
+++ b/savoryport_core/tests/load_concurrency.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use savoryport_core::node::load_concurrency::{LoadConcurrencyLimiter, is_slow_load};
+use savoryport_core::node::load_concurrency::{LoadConcurrencyLimiter, LoadWatch};
 
 /// The time that a load takes alone.
 const LOAD_TIME: Duration = Duration::from_secs(4);
@@ -19,7 +19,7 @@
     began: Duration,
     /// The part that is done.
     done: f64,
-    is_reported: bool,
+    watch: LoadWatch,
 }
 
 /// Failure domains that load from one store.
@@ -48,7 +48,8 @@
         if !is_allowed || loads.len() >= self.servers_per_domain {
             return false;
         }
-        loads.push(Load { value, began: self.now, done: 0.0, is_reported: false });
+        let watch = LoadWatch::new(LOAD_TIME);
+        loads.push(Load { value, began: self.now, done: 0.0, watch });
         true
     }
 
@@ -64,9 +65,7 @@
             for load in loads.iter_mut() {
                 load.done += progress;
                 let elapsed = self.now - load.began;
-                let turned_slow = !load.is_reported && is_slow_load(elapsed, LOAD_TIME);
-                if load.done >= 1.0 || turned_slow {
-                    load.is_reported = true;
+                if load.watch.is_evidence(elapsed, load.done >= 1.0) {
                     limiter.record_load(elapsed, LOAD_TIME, count);
                 }
             }
@@ -153,7 +152,13 @@
 fn single_slow_server_limits_no_loads() {
     let mut limiter = LoadConcurrencyLimiter::default();
     for _ in 0..5 {
-        limiter.record_load(LOAD_TIME * 5, LOAD_TIME, 4);
+        let mut watch = LoadWatch::new(LOAD_TIME);
+        for (tenths, is_done) in [(11, false), (20, false), (50, true)] {
+            let elapsed = LOAD_TIME * tenths / 10;
+            if watch.is_evidence(elapsed, is_done) {
+                limiter.record_load(elapsed, LOAD_TIME, 4);
+            }
+        }
         limiter.record_load(LOAD_TIME, LOAD_TIME, 4);
     }
     assert_eq!(limiter.limit(), None);
