--- a/savoryport/src/node/engine.rs
+++ b/savoryport/src/node/engine.rs
@@ -91,7 +91,7 @@
 pub struct ObservedLoad {
     /// The time that it has taken so far.
     pub elapsed: Duration,
-    /// The time that it takes if few others are under way.
+    /// The time that it takes if few others are active.
     pub expected: Duration,
     /// Whether it has ended.
     pub is_done: bool,
--- a/savoryport/src/node/planner.rs
+++ b/savoryport/src/node/planner.rs
@@ -228,10 +228,10 @@
         let observed: Vec<ObservedLoad> =
             engines.values().flat_map(EngineHandle::take_observed_loads).collect();
         let ended = observed.iter().filter(|load| load.is_done).count();
-        let under_way = ended + engines.values().filter_map(store_load_value).count();
+        let active = ended + engines.values().filter_map(store_load_value).count();
         let former_limit = self.load_concurrency.limit();
         for load in &observed {
-            self.load_concurrency.record_load(load.elapsed, load.expected, under_way);
+            self.load_concurrency.record_load(load.elapsed, load.expected, active);
         }
         if let Some(limit) = self.load_concurrency.limit()
             && former_limit != Some(limit)
@@ -250,9 +250,9 @@
         let now = cx.now();
         let store_load_allowed =
             self.load_limiter(cx, class, &controller.domain).may_start_load(now);
-        let under_way: SmallVec<[f64; 8]> =
+        let active: SmallVec<[f64; 8]> =
             controller.engines().values().filter_map(store_load_value).collect();
-        let least_store_value = self.load_concurrency.least_value(&under_way);
+        let least_store_value = self.load_concurrency.least_value(&active);
         let no_loads = HashMap::new();
         let options: Vec<PlacementServer<'_>> = servers
             .iter()
--- a/savoryport_core/src/node/load_concurrency.rs
+++ b/savoryport_core/src/node/load_concurrency.rs
@@ -1,4 +1,4 @@
-//! Limits how many loads from the weight store a failure domain has under way.
+//! Limits how many loads from the weight store a failure domain has active.
 //!
 //! Load pattern: requests for many rare models keep all servers of a small fleet loading. The store
 //! serves only some loads at once at full speed, and how many is not announced: beyond that number
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-/// A load that takes this many times as long as it does alone shows that too many are under way.
+/// A load that takes this many times as long as it does alone shows that too many are active.
 const SLOW_FACTOR: f64 = 1.4;
 
 /// A load that takes less than this many times as long shows that the store could serve another one.
@@ -21,19 +21,19 @@
 const SLOW_IN_A_ROW: u32 = 2;
 
 /// A load starts beyond the limit if its value is at least this many times that of the least
-/// valuable one under way.
+/// valuable active one.
 const URGENT_FACTOR: f64 = 1.5;
 
-/// Decides when a load that is under way shows how busy the store is.
+/// Decides when a load that is active shows how busy the store is.
 #[derive(Debug, Clone, Copy)]
 pub struct LoadWatch {
-    /// The time that the load takes if few others are under way.
+    /// The time that the load takes if few others are active.
     pub expected: Duration,
     is_known_slow: bool,
 }
 
 impl LoadWatch {
-    /// Watches a load that takes `expected` if few others are under way.
+    /// Watches a load that takes `expected` if few others are active.
     pub fn new(expected: Duration) -> Self {
         Self { expected, is_known_slow: false }
     }
@@ -62,28 +62,28 @@
 
 impl LoadConcurrencyLimiter {
     /// Records a load that has taken `elapsed` so far, and alone takes `expected`, with the number of
-    /// the domain's loads that are under way, itself included.
-    pub fn record_load(&mut self, elapsed: Duration, expected: Duration, under_way: usize) {
+    /// the domain's loads that are active, itself included.
+    pub fn record_load(&mut self, elapsed: Duration, expected: Duration, active: usize) {
         let factor = slow_down(elapsed, expected);
         self.slow_in_a_row = if factor >= SLOW_FACTOR { self.slow_in_a_row + 1 } else { 0 };
         if self.slow_in_a_row >= SLOW_IN_A_ROW {
-            let sustainable = (under_way as f64 / factor).round().max(1.0) as usize;
+            let sustainable = (active as f64 / factor).round().max(1.0) as usize;
             self.limit = Some(self.limit.map_or(sustainable, |limit| limit.min(sustainable)));
-        } else if factor < FAST_FACTOR && self.limit.is_some_and(|limit| under_way >= limit) {
+        } else if factor < FAST_FACTOR && self.limit.is_some_and(|limit| active >= limit) {
             self.limit = self.limit.map(|limit| limit + 1);
         }
     }
 
-    /// Returns the number of loads that may be under way; `None` if there is no limit.
+    /// Returns the number of loads that may be active; `None` if there is no limit.
     pub fn limit(&self) -> Option<usize> {
         self.limit
     }
 
-    /// Returns the least value that a further load needs, given the values of those under way.
-    pub fn least_value(&self, under_way: &[f64]) -> f64 {
+    /// Returns the least value that a further load needs, given the values of the active ones.
+    pub fn least_value(&self, active: &[f64]) -> f64 {
         match self.limit {
-            Some(limit) if under_way.len() >= limit => {
-                under_way.iter().copied().fold(f64::INFINITY, f64::min) * URGENT_FACTOR
+            Some(limit) if active.len() >= limit => {
+                active.iter().copied().fold(f64::INFINITY, f64::min) * URGENT_FACTOR
             }
             _ => 0.0,
         }
--- a/savoryport_core/tests/load_concurrency.rs
+++ b/savoryport_core/tests/load_concurrency.rs
@@ -1,4 +1,4 @@
-//! Tests of the limit on loads under way, with a replay of a small fleet that never stops loading.
+//! Tests of the limit on active loads, with a replay of a small fleet that never stops loading.
 
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 const RARE: f64 = 0.5;
 const BUSY: f64 = 1.1;
 
-/// A load under way at a server.
+/// An active load at a server.
 struct Load {
     value: f64,
     began: Duration,
@@ -43,8 +43,8 @@
     /// Starts a load if the domain has a free server and its limit allows it.
     fn try_load(&mut self, domain: usize, value: f64) -> bool {
         let (loads, limiter) = &mut self.domains[domain];
-        let under_way: Vec<f64> = loads.iter().map(|load| load.value).collect();
-        let is_allowed = !self.is_limited || value >= limiter.least_value(&under_way);
+        let active: Vec<f64> = loads.iter().map(|load| load.value).collect();
+        let is_allowed = !self.is_limited || value >= limiter.least_value(&active);
         if !is_allowed || loads.len() >= self.servers_per_domain {
             return false;
         }
@@ -56,8 +56,8 @@
     /// Lets time pass; returns the values of the loads that end.
     fn advance(&mut self) -> Vec<f64> {
         self.now += STEP;
-        let under_way: usize = self.domains.iter().map(|(loads, _)| loads.len()).sum();
-        let speed = (self.store_capacity as f64 / under_way.max(1) as f64).min(1.0);
+        let active: usize = self.domains.iter().map(|(loads, _)| loads.len()).sum();
+        let speed = (self.store_capacity as f64 / active.max(1) as f64).min(1.0);
         let progress = speed * STEP.as_secs_f64() / LOAD_TIME.as_secs_f64();
         let mut ended = Vec::new();
         for (loads, limiter) in &mut self.domains {
@@ -142,8 +142,8 @@
     assert_eq!(limiter.least_value(&[]), 0.0, "one load always starts");
     assert!(limiter.least_value(&[RARE]) > RARE);
     assert!(limiter.least_value(&[RARE]) <= BUSY);
-    for under_way in 1..4 {
-        limiter.record_load(LOAD_TIME, LOAD_TIME, under_way);
+    for active in 1..4 {
+        limiter.record_load(LOAD_TIME, LOAD_TIME, active);
     }
     assert_eq!(limiter.least_value(&[RARE; 3]), 0.0);
 }
