Elect a leader anew whose lease may have run out before a restore

Cause: a leader that the store had turned away kept on renewing after its lease had run out by its own clock. After a drill the store's copy had its key as it had written it, which says nothing of the history that is lost: another node had led there and had given orders. The leader went on with its old token and without a turn.

A leader now goes on with the copy's key only if its lease cannot have run out since the last confirmed renewal. Otherwise it stops, removes the key, so that the failure domain is vacant at once, and is elected anew with a higher token and a whole turn. A late renewal that the same history confirms still counts: leases of one history do not come back.

The same cause on related paths: - A leader of the lost history that the copy does not name acts until it learns of that. One that is elected soon after a restore waits that much longer than a turn. - A first start, after which no turn is needed, ends when the store goes back. - Before a lease is ended, the node asks the store for its era: the id may be another node's lease by now.

--- a/savoryport/src/node/domain_controller.rs
+++ b/savoryport/src/node/domain_controller.rs
@@ -220,6 +220,14 @@
         leadership.is_held() && !leadership.has_lapsed(cx.lease_clock.now())
     }
 
+    /// Returns whether another node may have led the failure domain since the last renewal.
+    pub fn may_have_been_succeeded(&self, cx: &NodeContext) -> bool {
+        self.leadership
+            .lock()
+            .expect("no thread panics while holding the lock")
+            .may_have_been_succeeded(cx.lease_clock.now())
+    }
+
     /// Records a renewal of the lease; `sent_at` is the time of its request by the lease clock.
     pub fn record_renewal(&self, sent_at: Instant) {
         self.leadership
--- a/savoryport/src/node/leadership.rs
+++ b/savoryport/src/node/leadership.rs
@@ -9,7 +9,7 @@
 
 use savoryport_adapter::store::{CommitResult, Lease, Revision, StoreError, Transaction};
 use savoryport_core::Name;
-use savoryport_core::node::leadership::Leadership;
+use savoryport_core::node::leadership::{Leadership, Succession};
 
 use super::context::NodeContext;
 use super::domain_controller::DomainController;
@@ -44,18 +44,17 @@
 const RENEWALS_PER_LEASE: u32 = 3;
 
 /// The state of this node's attempts to become a leader.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Campaign {
     /// Failure domains without a leader, with the time since when.
     vacant_since: HashMap<Name, Instant>,
-    /// Failure domains known to have had a leader, which may have sent an order just before it lost
-    /// the leadership.
-    led_before: HashSet<Name>,
+    /// The former leaders, which may have sent an order just before they lost the leadership.
+    succession: Succession,
 }
 
 /// Acquires vacant leaderships until the node stops, then releases all of them.
 pub async fn run(cx: Arc<NodeContext>) {
-    let mut campaign = Campaign::default();
+    let mut campaign = Campaign::new(&cx);
     while !cx.stopping.is_cancelled() {
         tokio::time::sleep(POLL_INTERVAL).await;
         if !cx.store_health.is_answering() {
@@ -81,6 +80,14 @@
 }
 
 impl Campaign {
+    fn new(cx: &NodeContext) -> Self {
+        let settings = &cx.settings;
+        let order_turn = Duration::from_millis(settings.order_turn_ms);
+        let ttl = settings.leadership_lease_ttl();
+        let succession = Succession::new(order_turn, ttl, settings.first_start);
+        Self { vacant_since: HashMap::new(), succession }
+    }
+
     /// Returns the vacant failure domains that this node may lead: its own, and as the leader of
     /// another domain also those that have been vacant for [`TAKEOVER_AFTER`].
     fn eligible_domains(&mut self, cx: &NodeContext) -> Vec<Name> {
@@ -99,7 +106,10 @@
             .map(|server| server.failure_domain.clone())
             .collect();
         domains.insert(own.clone());
-        self.led_before.extend(view.leaders.keys().cloned());
+        self.succession.record_era(cx.store.era(), cx.lease_clock.now());
+        for domain in view.leaders.keys() {
+            self.succession.record_leader(domain.clone());
+        }
         self.vacant_since.retain(|domain, _| !view.leaders.contains_key(domain));
         let vacant = domains.into_iter().filter(|domain| !view.leaders.contains_key(domain));
         vacant
@@ -134,16 +144,13 @@
                 withdraw(cx, domain, revision).await;
             }
             Ok(CommitResult::Committed(revision)) => {
-                let is_first_start = cx.settings.first_start && !self.led_before.contains(domain);
-                let handover_delay = if is_first_start {
-                    Duration::ZERO
-                } else {
-                    Duration::from_millis(cx.settings.order_turn_ms)
-                };
-                self.led_before.insert(domain.clone());
+                let acquired_at = cx.lease_clock.now();
+                self.succession.record_era(revision.era, acquired_at);
+                let handover_delay = self.succession.hand_over(domain, acquired_at);
+                self.succession.record_leader(domain.clone());
                 let mut leadership = Leadership::new(time_to_live);
                 let token = revision.fencing_token();
-                leadership.on_acquired(token, sent_at, cx.lease_clock.now(), handover_delay);
+                leadership.on_acquired(token, sent_at, acquired_at, handover_delay);
                 log::info!(domain = &**domain, token = token, hand_over_ms = handover_delay.as_millis() as u64; "duty taken");
                 let controller = cx.controllers.open(
                     cx,
@@ -153,13 +160,13 @@
                 tokio::spawn(keep_leadership(cx.clone(), controller));
             }
             Ok(CommitResult::Conflict) => {
-                self.led_before.insert(domain.clone());
+                self.succession.record_leader(domain.clone());
                 end_lease(cx, lease).await;
             }
             // The write may still take effect, but not once its lease has ended.
             Err(err) => {
                 log::warn!(domain = &**domain, err:% = err; "leadership not acquired");
-                end_lease(cx, lease).await;
+                end_lease_of(cx, domain, lease).await;
             }
         }
     }
@@ -184,12 +191,19 @@
                 record_answer(&cx);
                 break;
             }
-            Err(StoreError::LeaseUnknown) => match is_in_copy(&cx, &controller).await {
-                Ok(true) => {
+            Err(StoreError::LeaseUnknown) => match find_in_copy(&cx, &controller).await {
+                Ok(Some(_)) if !controller.may_have_been_succeeded(&cx) => {
                     controller.record_renewal(sent_at);
                     record_answer(&cx);
                 }
-                Ok(false) => break,
+                // The copy's key keeps other nodes from being elected.
+                Ok(Some(revision)) => {
+                    record_answer(&cx);
+                    cx.controllers.close(&controller);
+                    withdraw(&cx, &controller.domain, revision).await;
+                    break;
+                }
+                Ok(None) => break,
                 Err(err) => {
                     log::debug!(domain = &*controller.domain, err:% = err; "duty not confirmed");
                 }
@@ -208,18 +222,25 @@
     });
 }
 
-/// Returns whether the store still has the leadership after it went back to a copy. The copy may be
-/// older than the leadership, or the key and the id of its lease may be somebody else's by now.
-async fn is_in_copy(cx: &NodeContext, controller: &DomainController) -> Result<bool, StoreError> {
+/// Returns the revision of the leadership's key if the store still has it after it went back to a
+/// copy. The copy may be older than the leadership, or the key and the id of its lease may be somebody
+/// else's by now. Another node may have led since all the same, in the history that is lost.
+async fn find_in_copy(
+    cx: &NodeContext,
+    controller: &DomainController,
+) -> Result<Option<Revision>, StoreError> {
     cx.metrics.store_calls.inc();
     let entry = cx.store.get(&leader_key(&controller.domain)).await?;
     let value = encode_entry(&own_entry(cx));
-    let is_in_copy = entry.is_some_and(|entry| controller.confirm(&entry, &value));
-    log::info!(domain = &*controller.domain, in_copy = is_in_copy; "store went back");
-    Ok(is_in_copy)
+    let confirmed = entry.filter(|entry| controller.confirm(entry, &value));
+    log::info!(
+        domain = &*controller.domain, in_copy = confirmed.is_some(),
+        may_have_been_succeeded = controller.may_have_been_succeeded(cx); "store went back"
+    );
+    Ok(confirmed.map(|entry| entry.revision))
 }
 
-/// Removes the key of a leadership that was not acquired after all.
+/// Removes the key of a leadership that this node does not hold, or no longer holds for certain.
 async fn withdraw(cx: &NodeContext, domain: &Name, revision: Revision) {
     let key = leader_key(domain);
     let transaction = Transaction {
@@ -245,7 +266,18 @@
     for controller in cx.controllers.all() {
         cx.controllers.close(&controller);
         log::info!(domain = &*controller.domain; "duty given up");
-        end_lease(cx, controller.lease()).await;
+        end_lease_of(cx, &controller.domain, controller.lease()).await;
+    }
+}
+
+/// Ends a lease of a leadership, unless the store has gone back to a copy since its last answer: the
+/// id may be that of another node's lease then.
+async fn end_lease_of(cx: &NodeContext, domain: &Name, lease: Lease) {
+    cx.metrics.store_calls.inc();
+    match cx.store.get(&leader_key(domain)).await {
+        Ok(_) => end_lease(cx, lease).await,
+        // The lease then expires after its time to live.
+        Err(err) => log::debug!(lease = lease.id, err:% = err; "lease not ended"),
     }
 }
 
--- a/savoryport/tests/node_restored_store.rs
+++ b/savoryport/tests/node_restored_store.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use node_site::{NodeSite, RequestKind, SiteNode};
+use node_site::{NodeSite, ORDER_TURN_MS, RequestKind, SiteNode};
 use rustix::process::Signal;
 use savoryport_standin::metadata::{StoreCopy, StoreMode};
 use savoryport_standin::proxy::Faults;
@@ -18,6 +18,10 @@
 /// The adapters that requests ask for in turn, so that a leader has to give orders.
 const ADAPTERS: [&str; 6] = ["m1/a1", "m1/a2", "m1/a3", "m1/a4", "m1/a5", "m1/a6"];
 
+/// More adapters than the engines have room for, so that requests for them in turn need ever new orders.
+const ALL_ADAPTERS: [&str; 8] =
+    ["m1/a1", "m1/a2", "m1/a3", "m1/a4", "m1/a5", "m1/a6", "m1/a7", "m1/a8"];
+
 /// Returns whether a node may send orders.
 fn may_order(site: &NodeSite, node: usize) -> bool {
     let status = site.nodes[node].status_json();
@@ -102,6 +106,57 @@
     }
 }
 
+/// Sends requests that need orders until a leader has given one.
+fn wait_for_orders(site: &NodeSite, holder: usize) {
+    let name = &site.nodes[holder].name;
+    let engines = || site.servers.iter().filter(|server| server.id().starts_with("engine-"));
+    site.wait_until("the leader has given orders", |site| {
+        for adapter in ALL_ADAPTERS {
+            site.send(holder, adapter, RequestKind::Stream(adapter));
+        }
+        engines().any(|engine| engine.orders().iter().any(|order| order.holder == *name))
+    });
+}
+
+/// Checks that no fencing token is lower than an earlier one, and that leaders take turns.
+fn check_orders(site: &NodeSite) {
+    let order_turn = Duration::from_millis(ORDER_TURN_MS);
+    for server in &site.servers {
+        for [former, next] in server.orders().array_windows() {
+            let pause = next.received_at - former.received_at;
+            assert!(former.fencing_token <= next.fencing_token, "{former:?}, then {next:?}");
+            assert!(
+                former.holder == next.holder || pause >= order_turn,
+                "{former:?}, then {next:?}"
+            );
+        }
+    }
+}
+
+/// Guards against a leader that goes on with a key of the store's copy, though another node led after
+/// its lease had run out, in the history that is lost.
+#[test]
+fn a_leader_whose_lease_ran_out_does_not_lead_again_with_the_stores_copy() {
+    let mut site = NodeSite::start(2);
+    let former = wait_for_leader(&site, &[0, 1]);
+    wait_for_orders(&site, former);
+    let cut = Faults { refuse: true, pause: true, ..Faults::default() };
+    site.nodes[former].store_proxy.set_faults(|faults| *faults = cut);
+    let copy = site.store.copy();
+    let leader = wait_for_leader(&site, &[1 - former]);
+    wait_for_orders(&site, leader);
+    restore(&mut site, &copy, |_| ());
+    site.nodes[former].store_proxy.set_faults(|faults| *faults = Faults::default());
+    let restored = Instant::now();
+    while restored.elapsed() < Duration::from_secs(6) {
+        for adapter in ALL_ADAPTERS {
+            site.send(former, adapter, RequestKind::Stream(adapter));
+        }
+    }
+    check_orders(&site);
+    assert!((0..2).any(|node| may_order(&site, node)), "the failure domain has no leader");
+}
+
 #[test]
 fn changes_are_not_missed_when_the_store_goes_back() {
     let mut site = NodeSite::start(3);
--- a/savoryport_core/src/lease.rs
+++ b/savoryport_core/src/lease.rs
@@ -20,6 +20,8 @@
     machine: StateMachine,
     time_to_live: Duration,
     may_act_until: Option<Instant>,
+    /// Before this time, the service cannot have given the lease to another process.
+    held_until: Option<Instant>,
 }
 
 impl Lease {
@@ -28,7 +30,12 @@
 
     /// Creates a lease that is not held.
     pub fn new(time_to_live: Duration) -> Self {
-        Self { machine: StateMachine::new(CHART.clone()), time_to_live, may_act_until: None }
+        Self {
+            machine: StateMachine::new(CHART.clone()),
+            time_to_live,
+            may_act_until: None,
+            held_until: None,
+        }
     }
 
     /// Records that a request for the lease was sent.
@@ -47,6 +54,7 @@
         let event = if self.machine.state() == "held" { "lapsed" } else { "lost" };
         self.fire(event);
         self.may_act_until = None;
+        self.held_until = None;
     }
 
     /// Records that the lease was renewed by a request sent at `sent_at`.
@@ -60,14 +68,25 @@
         self.may_act_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the service may have given the lease to another process since it was last
+    /// renewed.
+    pub fn may_have_expired(&self, now: Instant) -> bool {
+        self.held_until.is_none_or(|until| now >= until)
+    }
+
+    /// Returns how long the holder may act after it has sent a renewal.
+    pub fn act_time(time_to_live: Duration) -> Duration {
+        time_to_live * Self::ACT_PERCENT_OF_TTL / 100
+    }
+
     /// Returns whether the lease is held as far as known; it may have lapsed in the meantime.
     pub fn is_held(&self) -> bool {
         self.machine.state() == "held"
     }
 
     fn extend(&mut self, sent_at: Instant) {
-        let act_for = self.time_to_live * Self::ACT_PERCENT_OF_TTL / 100;
-        self.may_act_until = Some(sent_at + act_for);
+        self.may_act_until = Some(sent_at + Self::act_time(self.time_to_live));
+        self.held_until = Some(sent_at + self.time_to_live);
     }
 
     fn fire(&mut self, event: &str) {
--- a/savoryport_core/src/node/leadership.rs
+++ b/savoryport_core/src/node/leadership.rs
@@ -4,9 +4,15 @@
 //! a former leader from the current one. A leader therefore stops before its lease can expire, and
 //! its successor waits until a whole lease duration has passed since the former leader's last
 //! order.
+//!
+//! The store may go back to an older copy. What it tells of leaders from then on says nothing about
+//! the history that is lost: another node may have led there, and may not know yet that its lease is
+//! gone. See docs/DESIGN.md.
 
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
+use crate::Name;
 use crate::lease::Lease;
 
 /// The leadership of one failure domain that this node wants or holds.
@@ -59,9 +65,69 @@
         self.lease.is_held() && !self.lease.may_act(now)
     }
 
+    /// Returns whether another node may have led since the last renewal. The store's copy shows only
+    /// that the lease had not run out when the copy was made.
+    pub fn may_have_been_succeeded(&self, now: Instant) -> bool {
+        self.lease.may_have_expired(now)
+    }
+
     /// Returns the fencing token for orders, if orders may be given now.
     pub fn active_token(&self, now: Instant) -> Option<u64> {
         let is_active = self.active_from.is_some_and(|from| now >= from) && self.lease.may_act(now);
         is_active.then_some(self.fencing_token)
     }
 }
+
+/// What this node knows of former leaders, which decides when a new one may send its first order.
+#[derive(Debug)]
+pub struct Succession {
+    /// The shortest time between orders of two leaders to one server.
+    order_turn: Duration,
+    /// How long a leader acts that cannot renew its lease any more.
+    act_time: Duration,
+    is_first_start: bool,
+    led_before: HashSet<Name>,
+    /// The era of the store's history, and when this node learned of it.
+    era: Option<(u64, Instant)>,
+    /// Whether the store has gone back to a copy since this node started.
+    went_back: bool,
+}
+
+impl Succession {
+    /// Creates the state of a node that knows of no leader. `is_first_start` tells that no node of
+    /// the system has run before.
+    pub fn new(order_turn: Duration, lease_ttl: Duration, is_first_start: bool) -> Self {
+        let act_time = Lease::act_time(lease_ttl);
+        let (led_before, era, went_back) = (HashSet::new(), None, false);
+        Self { order_turn, act_time, is_first_start, led_before, era, went_back }
+    }
+
+    /// Records that a failure domain has or had a leader.
+    pub fn record_leader(&mut self, domain: Name) {
+        self.led_before.insert(domain);
+    }
+
+    /// Records the era of the store's last answer.
+    pub fn record_era(&mut self, era: u64, now: Instant) {
+        match self.era {
+            Some((known, _)) if known == era => {}
+            former => {
+                self.went_back |= former.is_some();
+                self.era = Some((era, now));
+            }
+        }
+    }
+
+    /// Returns how long this node waits before its first order after it was elected.
+    ///
+    /// A leader of the lost history sends its last order [`Lease::act_time`] after the store went
+    /// back at the latest, also if nothing in the store names it any more.
+    pub fn hand_over(&self, domain: &str, now: Instant) -> Duration {
+        if self.is_first_start && !self.went_back && !self.led_before.contains(domain) {
+            return Duration::ZERO;
+        }
+        let since_era = self.era.map(|(_, since)| now.saturating_duration_since(since));
+        let lost_leader_acts_for = self.act_time.saturating_sub(since_era.unwrap_or_default());
+        self.order_turn + lost_leader_acts_for
+    }
+}
