Resume a stream before the event that does not follow

Two causes met: an event's id was read from the event as text, so a wrong byte anywhere in it hid the id; and at the gap that followed, events from the same bytes that had been counted as forwarded were dropped before they were.

What is counted is now what is forwarded. Each event of a resumable stream must follow the one before; one that does not, or whose number is not certain, is not forwarded, and another server resumes the stream before it. Only the id must be text: wrong bytes in the data are the caller's matter. Two ids in one event, or unknown fields after its id, are two events with a broken blank line between them.

The counter spoiled_events and a log line name such servers.

--- a/savoryport/src/node/event_splitter.rs
+++ b/savoryport/src/node/event_splitter.rs
@@ -2,9 +2,11 @@
 //! another server.
 //!
 //! The bytes of an event are forwarded unchanged. Only its boundary and its id are needed, so no
-//! parser of server-sent events is used.
+//! parser of server-sent events is used. The names of the fields are read as well: a wrong byte in a
+//! blank line makes one event of two.
 
 use bytes::{Bytes, BytesMut};
+use savoryport_core::node::event_sequence::EventNumber;
 use smallvec::SmallVec;
 
 /// The maximum size of an event that is buffered until it is complete, in bytes. Bytes that are no
@@ -29,8 +31,8 @@
 /// A complete server-sent event.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SseEvent {
-    /// The event's id, if it has a numeric one.
-    pub id: Option<u64>,
+    /// The event's number, which its id states.
+    pub number: EventNumber,
     /// The event's bytes, including the blank line that ends it.
     pub bytes: Bytes,
 }
@@ -47,7 +49,7 @@
         let end = self.find_end()?;
         self.searched = 0;
         let bytes = self.buffer.split_to(end).freeze();
-        Some(SseEvent { id: event_id(&bytes), bytes })
+        Some(SseEvent { number: read_number(&bytes), bytes })
     }
 
     /// Returns whether bytes of an incomplete event are buffered.
@@ -88,7 +90,43 @@
     }
 }
 
-fn event_id(bytes: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(bytes).ok()?;
-    text.lines().find_map(|line| line.strip_prefix("id:")?.trim().parse().ok())
+/// Reads an event's number from its `id` field. Only that field must be text: a server's tokens may end
+/// inside a character.
+///
+/// A server may put fields of its own before the id, and known ones alone after it. Others there, or a
+/// second id, are those of a second event.
+fn read_number(event: &[u8]) -> EventNumber {
+    let mut id = None;
+    let (mut comments, mut unknown_fields, mut known_fields) = (0, 0, 0);
+    let lines = event.split(|byte| *byte == b'\n');
+    for line in lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line)) {
+        let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+        match name {
+            _ if line.is_empty() => {}
+            b"id" if id.is_some() => return EventNumber::Unreadable,
+            b"id" => match parse_id(&line[name.len()..]) {
+                Some(number) => id = Some(number),
+                None => return EventNumber::Unreadable,
+            },
+            b"data" | b"event" | b"retry" if line.len() > name.len() => known_fields += 1,
+            _ if id.is_some() => return EventNumber::Unreadable,
+            b"" => comments += 1,
+            _ => unknown_fields += 1,
+        }
+    }
+    match id {
+        Some(number) => EventNumber::Known(number),
+        None if unknown_fields > 0 || (comments > 0 && known_fields > 0) => EventNumber::Unreadable,
+        None => EventNumber::Unnumbered,
+    }
+}
+
+/// Parses what follows the name of the `id` field.
+fn parse_id(rest: &[u8]) -> Option<u64> {
+    let value = rest.strip_prefix(b":")?;
+    let digits = value.strip_prefix(b" ").unwrap_or(value);
+    let text = std::str::from_utf8(digits).ok()?;
+    let number = text.parse().ok()?;
+    // Signs and leading zeros are parsed too, but servers write none.
+    (u64::to_string(&number) == text).then_some(number)
 }
--- a/savoryport/src/node/metrics.rs
+++ b/savoryport/src/node/metrics.rs
@@ -60,6 +60,8 @@
     pub resumed_streams: Counter,
     /// Streams whose server ended them inside an event.
     pub cut_events: Counter,
+    /// Events of resumable streams that did not follow the one before.
+    pub spoiled_events: Counter,
     /// Servers that crashed while requests of this node waited for their first events.
     pub server_crashes: Counter,
     /// Servers that name a limit.
@@ -97,6 +99,7 @@
             not_run: Counter::default(),
             resumed_streams: Counter::default(),
             cut_events: Counter::default(),
+            spoiled_events: Counter::default(),
             server_crashes: Counter::default(),
             limited_servers: Gauge::default(),
             limit_changes: Counter::default(),
@@ -159,6 +162,11 @@
             "Streams whose server ended them inside an event",
             self.cut_events.clone(),
         );
+        registry.register(
+            "spoiled_events",
+            "Events that did not follow the one before",
+            self.spoiled_events.clone(),
+        );
         registry.register(
             "limited_servers",
             "Servers that name a limit",
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -14,6 +14,7 @@
 mod directory;
 mod domain_controller;
 mod engine;
+pub mod event_relay;
 pub mod event_splitter;
 mod exchange;
 pub mod fleet;
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -12,7 +12,8 @@
 use savoryport_core::node::health::ServerOutcome;
 use tokio::sync::mpsc;
 
-use super::event_splitter::{EventBoundary, EventSplitter};
+use super::event_relay::{EventRelay, Relayed};
+use super::event_splitter::EventBoundary;
 use super::proxy::{OpenedResponse, ProxyRequest};
 use super::response::{Body, IncompleteResponse};
 use super::server_selection::SelectedServer;
@@ -55,13 +56,12 @@
 struct StreamForwarder {
     request: ProxyRequest,
     chunks: mpsc::Sender<Result<Frame<Bytes>, IncompleteResponse>>,
-    splitter: EventSplitter,
+    /// The events of a resumable stream.
+    relay: EventRelay,
     /// Where the last event of a stream ends that is forwarded as it arrives, since it cannot be
     /// resumed.
     boundary: EventBoundary,
     is_resumable: bool,
-    /// The id of the last event that was forwarded.
-    last_event_id: Option<u64>,
     /// Whether the current server has sent a complete event.
     is_answering: bool,
 }
@@ -82,9 +82,8 @@
     *response.headers_mut() = headers;
     let forwarder = StreamForwarder {
         is_resumable: request.route.kind == RequestKind::Stream { resumable: true },
-        last_event_id: request.head.last_event_id,
+        relay: EventRelay::new(request.head.last_event_id),
         is_answering: false,
-        splitter: EventSplitter::default(),
         boundary: EventBoundary::default(),
         chunks,
         request,
@@ -177,16 +176,16 @@
             };
             log::info!(
                 request = &*self.request.head.id, server = &*selected.server.id,
-                after = self.last_event_id.unwrap_or(0); "stream goes on elsewhere"
+                after = self.relay.last_forwarded().unwrap_or(0); "stream goes on elsewhere"
             );
             self.request.cx.metrics.resumed_streams.inc();
-            let resumed = self.request.resume_at(&selected, self.last_event_id);
+            let resumed = self.request.resume_at(&selected, self.relay.last_forwarded());
             let opened = tokio::select! {
                 opened = resumed => opened,
                 () = self.chunks.closed() => return None,
             };
             if let Some(opened) = opened {
-                self.splitter = EventSplitter::default();
+                self.relay.start_server();
                 self.is_answering = false;
                 return Some((opened, selected));
             }
@@ -247,18 +246,21 @@
                     self.log_partial_event(opened);
                     return StreamEnd::Interrupted;
                 }
-                None => return StreamEnd::Completed,
+                None => {
+                    let held = self.relay.finish();
+                    return self.send_to_caller(held).await.unwrap_or(StreamEnd::Completed);
+                }
             };
             if !data.is_empty() {
                 self.record_chunk(opened);
             }
-            let last_event_id = self.last_event_id;
+            let last_event_id = self.relay.last_forwarded();
             if let Some(end) = self.forward_data(data).await {
                 return end;
             }
             // Bytes that complete no event do not count as progress: a stalled server may still
             // send one now and then.
-            if !self.is_resumable || self.last_event_id != last_event_id {
+            if !self.is_resumable || self.relay.last_forwarded() != last_event_id {
                 waiting_since = self.request.cx.now();
                 self.request.record_server_activity();
             }
@@ -271,7 +273,7 @@
     /// that the silent server sent meanwhile.
     async fn resume_beside(&mut self, opened: &mut OpenedResponse) -> (Bytes, SilenceEnd) {
         let last_server = self.request.last_server.clone();
-        let mut splitter = self.splitter.clone();
+        let mut splitter = self.relay.splitter().clone();
         let mut meanwhile = BytesMut::new();
         // Single bytes of an event are no reason to give up a server that is about to send all of it.
         let progress = async {
@@ -343,8 +345,7 @@
         );
     }
 
-    /// Forwards bytes; those of a resumable stream as complete events, without events that were
-    /// already forwarded.
+    /// Forwards bytes; those of a resumable stream as complete events that follow each other.
     async fn forward_data(&mut self, data: Bytes) -> Option<StreamEnd> {
         if !self.is_resumable {
             self.boundary.push(&data);
@@ -353,23 +354,26 @@
             }
             return self.send_to_caller(data).await;
         }
-        if !self.splitter.push(&data) {
-            return Some(StreamEnd::Interrupted);
-        }
-        let mut ready = BytesMut::new();
-        while let Some(event) = self.splitter.next_event() {
-            match (event.id, self.last_event_id) {
-                (Some(id), Some(last)) if id <= last => continue,
-                (Some(id), Some(last)) if id > last + 1 => return Some(StreamEnd::Interrupted),
-                (Some(id), _) => self.last_event_id = Some(id),
-                (None, _) => {}
-            }
-            ready.extend_from_slice(&event.bytes);
-        }
-        if !ready.is_empty() {
+        let Relayed { events, is_interrupted } = self.relay.push(&data);
+        if !events.is_empty() {
             self.record_answer();
         }
-        if ready.is_empty() { None } else { self.send_to_caller(ready.freeze()).await }
+        let end = self.send_to_caller(events).await;
+        if is_interrupted && end.is_none() {
+            self.log_spoiled_event();
+            return Some(StreamEnd::Interrupted);
+        }
+        end
+    }
+
+    /// Logs that an event does not follow the one before.
+    fn log_spoiled_event(&self) {
+        self.request.cx.metrics.spoiled_events.inc();
+        log::info!(
+            request = &*self.request.head.id,
+            server = self.request.last_server.as_deref().unwrap_or(""),
+            after = self.relay.last_forwarded().unwrap_or(0); "event does not follow"
+        );
     }
 
     /// Logs that the server's body ended inside an event, and what marked the end of the body.
@@ -384,7 +388,7 @@
         self.request.cx.metrics.cut_events.inc();
         log::info!(
             request = &*self.request.head.id, server = opened.in_flight.server(),
-            framing = framing, after = self.last_event_id.unwrap_or(0);
+            framing = framing, after = self.relay.last_forwarded().unwrap_or(0);
             "stream ended inside an event"
         );
     }
@@ -399,7 +403,7 @@
     /// Returns whether the bytes received so far end inside an event. The server has then broken
     /// off the stream, even if the end of the connection is the end of the body.
     fn is_inside_event(&self) -> bool {
-        self.splitter.has_partial_event() || !self.boundary.is_between_events()
+        self.relay.has_partial_event() || !self.boundary.is_between_events()
     }
 
     async fn send_to_caller(&mut self, data: Bytes) -> Option<StreamEnd> {
--- a/savoryport/tests/node_bad_servers.rs
+++ b/savoryport/tests/node_bad_servers.rs
@@ -166,6 +166,29 @@
     }
 }
 
+/// Guards against a stream that lacks a sound event, or has one twice, since the server sent a wrong
+/// byte in the next one.
+#[test]
+fn a_stream_with_a_wrong_byte_goes_on_before_the_event_that_has_it() {
+    let mut site = NodeSite::start(1);
+    let models = ["by-one", "by-two", "by-three"];
+    site.models.extend(models.map(|model| (model, 0.4)));
+    site.write_config();
+    let mut engines = Vec::new();
+    for (model, events_per_write) in models.into_iter().zip(1..) {
+        let fault = RawEngineFault::SpoilsEvent { event: 5, events_per_write };
+        engines.push(site.start_raw_engine(&format!("a-{model}"), model, fault));
+        let (sound, none) = (format!("b-{model}"), RawEngineFault::None);
+        engines.push(site.start_raw_engine(&sound, model, none));
+        site.wait_for_servers(&[&format!("a-{model}"), &sound]);
+    }
+    for (model, engines) in models.into_iter().zip(engines.chunks(2)) {
+        let stream = site.send(0, model, RequestKind::Stream(model));
+        assert_eq!((stream.status, stream.body), (200, Some(expected_stream(model))));
+        assert_eq!(engines[0].runs_of(model), 1, "the stream starts at the server that spoils it");
+    }
+}
+
 #[test]
 fn a_stream_that_ends_before_its_first_event_is_not_delivered_as_complete() {
     let mut site = NodeSite::start(1);
--- a/savoryport/tests/node_parts.rs
+++ b/savoryport/tests/node_parts.rs
@@ -11,6 +11,7 @@
 use savoryport::node::settings::{NodeSettings, NodeSettingsError};
 use savoryport::node::store_reader::StoreHealth;
 use savoryport::node::view::Member;
+use savoryport_core::node::event_sequence::EventNumber;
 
 fn member(vm: &str) -> Member {
     Member { vm: vm.into(), failure_domain: "east".into(), callers: ([127, 0, 0, 1], 7_100).into() }
@@ -28,8 +29,9 @@
                 events.push(event);
             }
         }
-        let ids: Vec<_> = events.iter().map(|event| event.id).collect();
-        assert_eq!(ids, [Some(1), Some(2), None], "chunks of {size} bytes");
+        let numbers: Vec<_> = events.iter().map(|event| event.number).collect();
+        let expected = [EventNumber::Known(1), EventNumber::Known(2), EventNumber::Unnumbered];
+        assert_eq!(numbers, expected, "chunks of {size} bytes");
         assert!(splitter.has_partial_event());
         let mut bytes: Vec<u8> = events.iter().flat_map(|event| event.bytes.to_vec()).collect();
         assert!(splitter.push(b"ta: d\n\n"));
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod answered;
 pub mod deployment;
 pub mod entry_subset;
+pub mod event_sequence;
 pub mod health;
 pub mod leadership;
 pub mod load;
--- a/savoryport_standin/src/raw_engine.rs
+++ b/savoryport_standin/src/raw_engine.rs
@@ -47,6 +47,13 @@
         /// The number of the event, counted from 1.
         event: u64,
     },
+    /// Sends a wrong byte in the line with the id of an event, and several events in each write.
+    SpoilsEvent {
+        /// The number of the event, counted from 1.
+        event: u64,
+        /// The number of events in a write.
+        events_per_write: u64,
+    },
     /// Closes the connection of each stream before its first event, without a reset.
     EndsBeforeFirstEvent,
     /// Crashes when it begins to answer a request whose prompt has this part, and starts again
@@ -324,9 +331,25 @@
             return false;
         }
         let first = header("last-event-id").parse::<u64>().unwrap_or(0) + 1;
+        let mut unsent = Vec::new();
         for number in first..=self.cfg.events_per_stream {
             thread::sleep(self.cfg.event_interval);
             let event = format!("id: {number}\ndata: event {number} of {id}\n\n");
+            if let RawEngineFault::SpoilsEvent { event: spoiled, events_per_write } = self.cfg.fault
+            {
+                let start = unsent.len();
+                unsent.extend_from_slice(event.as_bytes());
+                if number == spoiled {
+                    unsent[start] = b'x';
+                }
+                let is_last = number == self.cfg.events_per_stream;
+                if (number % events_per_write == 0 || is_last)
+                    && stream.write_all(&std::mem::take(&mut unsent)).is_err()
+                {
+                    return false;
+                }
+                continue;
+            }
             if self.cfg.fault == (RawEngineFault::EndsInsideEvent { event: number }) {
                 send(stream, &event[..event.len() / 2]);
                 return false;
