Keep the crashes of servers in the store, so that they outlast all nodes

Cause: crashes with their suspects lived in the memory of nodes and travelled between running nodes alone. Parts of prompts that crash servers had the same cause.

The leader whose failure domain comes first by name now writes the crashes that are not settled, with the suspects that are not cleared, into one key of the store, and further leaders in its place if it does not. Every node reads the key with its first listing, before it knows a server. Ages stand still while all nodes are away; where a node knows a crash, it keeps its own times.

--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -7,9 +7,10 @@
 use rand::{Rng, RngExt};
 use savoryport_adapter::store::StoreClient;
 use savoryport_core::clock::Clock;
+use savoryport_core::node::crash_archive::CrashArchive;
 use savoryport_core::node::entry_subset::EntrySubset;
 use savoryport_platform::connection::Pool;
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -54,6 +55,10 @@
     pub peers: PeerConnections,
     /// The failure domains that this node leads.
     pub controllers: DomainControllers,
+    /// What the store has of the crashes that this node knows.
+    pub crash_archive: Mutex<CrashArchive>,
+    /// Notified when this node sees a crash, which its leader should learn of at once.
+    pub crash_seen: Notify,
     /// The node's counters and histograms.
     pub metrics: NodeMetrics,
     /// Cancelled when the node is asked to stop.
--- a/savoryport/src/node/metrics.rs
+++ b/savoryport/src/node/metrics.rs
@@ -64,6 +64,10 @@
     pub spoiled_events: Counter,
     /// Servers that crashed while requests of this node waited for their first events.
     pub server_crashes: Counter,
+    /// Records of crashes written to the store.
+    pub crash_writes: Counter,
+    /// Records of crashes that could not be written to the store.
+    pub crash_write_failures: Counter,
     /// Servers that name a limit.
     pub limited_servers: Gauge,
     /// Changes of servers' limits that this node learned of.
@@ -100,6 +104,8 @@
             resumed_streams: Counter::default(),
             cut_events: Counter::default(),
             spoiled_events: Counter::default(),
+            crash_writes: Counter::default(),
+            crash_write_failures: Counter::default(),
             server_crashes: Counter::default(),
             limited_servers: Gauge::default(),
             limit_changes: Counter::default(),
@@ -167,6 +173,16 @@
             "Events that did not follow the one before",
             self.spoiled_events.clone(),
         );
+        registry.register(
+            "crash_writes",
+            "Records of crashes written to the store",
+            self.crash_writes.clone(),
+        );
+        registry.register(
+            "crash_write_failures",
+            "Records of crashes not written to the store",
+            self.crash_write_failures.clone(),
+        );
         registry.register(
             "limited_servers",
             "Servers that name a limit",
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod callers;
 mod clock;
 mod context;
+mod crash_archive;
 mod directory;
 mod domain_controller;
 mod engine;
@@ -56,7 +57,7 @@
 use savoryport_core::node::retry_budget::RetryBound;
 use savoryport_platform::connection::Pool;
 use thiserror::Error;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use xxhash_rust::xxh3::xxh3_64;
@@ -131,6 +132,7 @@
     tokio::spawn(store_reader::run(cx.clone(), read_store_rx));
     tokio::spawn(sync::follow(cx.clone(), read_store_tx));
     tokio::spawn(exchange::exchange(cx.clone()));
+    tokio::spawn(crash_archive::run(cx.clone()));
     tokio::spawn(directory::accept(cx.clone(), directory));
     tokio::spawn(directory::accept(cx.clone(), readiness));
     tokio::spawn(callers::accept(cx.clone(), callers));
@@ -188,6 +190,8 @@
         member,
         peers: PeerConnections::default(),
         controllers: DomainControllers::default(),
+        crash_archive: Mutex::default(),
+        crash_seen: Notify::new(),
         metrics: NodeMetrics::default(),
         stopping,
         connection_shutdown: CancellationToken::new(),
--- a/savoryport/src/node/quarantine.rs
+++ b/savoryport/src/node/quarantine.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use savoryport_core::Name;
-use savoryport_core::node::quarantine::{QuarantineChange, SharedParts};
+use savoryport_core::node::quarantine::{CrashReport, QuarantineChange, SharedParts};
 use savoryport_platform::connection::Liveness;
 
 use super::context::NodeContext;
@@ -114,11 +114,16 @@
 
 /// Takes over what another node knows; returns its digest.
 pub(super) fn merge_crashes(cx: &NodeContext, theirs: &CrashExchange) -> u64 {
-    let changes = cx.routing.lock().quarantine.merge(&theirs.reports, cx.now());
-    report_changes(cx, &changes);
+    merge_crash_reports(cx, &theirs.reports);
     theirs.digest
 }
 
+/// Takes over crashes that were reported or read.
+pub(super) fn merge_crash_reports(cx: &NodeContext, reports: &[CrashReport]) {
+    let changes = cx.routing.lock().quarantine.merge(reports, cx.now());
+    report_changes(cx, &changes);
+}
+
 /// Forgets old crashes.
 pub(super) fn expire_crashes(cx: &NodeContext) {
     let changes = cx.routing.lock().quarantine.expire(cx.now());
--- a/savoryport/src/node/request_quarantine.rs
+++ b/savoryport/src/node/request_quarantine.rs
@@ -54,6 +54,7 @@
             "server crashed before it answered"
         );
         report_request_changes(&self.cx, &changes);
+        self.cx.crash_seen.notify_one();
     }
 }
 
--- a/savoryport/src/node/store_reader.rs
+++ b/savoryport/src/node/store_reader.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 
 use super::context::NodeContext;
+use super::crash_archive;
 use super::fleet::FleetState;
 use super::view::{AcceptedConfig, DomainLeader};
 
@@ -226,12 +227,15 @@
                 // Servers write the entries again that the copy lacks.
                 cx.store_health.record_return(cx.now());
             }
+            // Before the servers, so that no request reaches them that is known to crash them.
+            crash_archive::apply_listing(cx, &listing.entries);
             apply_listing(cx, listing, went_back)
         }
         Some(after) => {
             let wait = Duration::from_millis(cx.settings.store_poll_ms);
             let changes = cx.store.watch("", after, wait).await?;
             record_answer(cx);
+            crash_archive::apply_changes(cx, &changes.changes);
             apply_changes(cx, changes.changes);
             changes.revision.max(after)
         }
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -139,7 +139,10 @@
         }
         read_store
             .send_if_modified(|reads| std::mem::replace(reads, must_read_store) != must_read_store);
-        tokio::time::sleep(sync_period(&cx)).await;
+        tokio::select! {
+            () = tokio::time::sleep(sync_period(&cx)) => {}
+            () = cx.crash_seen.notified() => {}
+        }
     }
 }
 
--- a/savoryport/tests/node_deadly_prompts.rs
+++ b/savoryport/tests/node_deadly_prompts.rs
@@ -7,12 +7,17 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use node_site::{CallerResponse, NodeSite, expected_stream};
+use node_site::{CallerResponse, NodeSite, SiteNode, expected_stream};
+use rustix::process::Signal;
+use savoryport_core::node::crash_archive::CrashRecord;
 use savoryport_standin::raw_engine::{RawEngine, RawEngineFault};
 
 /// The part that crashes servers.
 const DEADLY_PART: &str = "dead0001";
 
+/// The key in the store that has the crashes.
+const CRASHES_KEY: &str = "savoryport/crashes";
+
 /// The part that all prompts of the route begin with.
 const FIRST_PART: &str = "5c1e07a2:60";
 
@@ -154,17 +159,82 @@
     }
 }
 
+fn lose_power_everywhere(site: &mut NodeSite) {
+    for node in &mut site.nodes {
+        node.signal(Signal::KILL);
+        node.wait_for_exit();
+    }
+    site.nodes.iter_mut().for_each(SiteNode::start);
+    site.wait_until("every node is ready", |site| site.nodes.iter().all(SiteNode::is_ready));
+}
+
+/// Guards against a part that crashes servers again after all nodes have forgotten it.
+#[test]
+fn after_losses_of_power_everywhere_few_requests_with_the_part_reach_servers() {
+    let (mut site, engines) = start(2, 4);
+    await_quarantine(&site);
+    let arrivals = || engines.iter().map(|engine| engine.deadly_arrivals().len()).sum::<usize>();
+    let before = arrivals();
+    for _ in 0..3 {
+        lose_power_everywhere(&mut site);
+        site.wait_until("sound requests are served", |site| {
+            (0..2).all(|node| send(site, node, "sound", "").status == 200)
+        });
+        send_deadly(&site, Duration::from_millis(250), 16);
+    }
+    let again = arrivals() - before;
+    assert!(again <= MAX_LATER_ARRIVALS, "{again} arrivals after losses of power");
+}
+
+/// Guards against an older entry of the store that undoes what an operator decided.
+#[test]
+fn what_an_operator_cleared_stays_cleared_after_a_loss_of_power_everywhere() {
+    let (mut site, _engines) = start(2, 4);
+    await_quarantine(&site);
+    site.wait_until("the crashes are in the store", |site| has_stored_crashes(site));
+    assert!(run_quarantine(&site, &["clear", DEADLY_PART]).contains("cleared"));
+    site.wait_until("the crashes are out of the store", |site| !has_stored_crashes(site));
+    lose_power_everywhere(&mut site);
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(site.nodes.iter().all(|node| !node.status().contains(DEADLY_PART)));
+}
+
+/// Guards against crashes that are lost with the history of the store, or with an entry that nobody
+/// can read.
+#[test]
+fn crashes_that_the_store_lost_are_written_again() {
+    let (site, _engines) = start(2, 4);
+    let copy = site.store.copy();
+    await_quarantine(&site);
+    site.wait_until("the crashes are in the store", |site| has_stored_crashes(site));
+    site.store.restore(&copy);
+    site.wait_until("the crashes are in the store again", |site| has_stored_crashes(site));
+    site.store.write_bytes(CRASHES_KEY, b"{\"parts\":7");
+    site.wait_until("the crashes can be read again", |site| {
+        let value = site.store.value(CRASHES_KEY);
+        value.is_some_and(|value| serde_json::from_slice::<CrashRecord>(&value).is_ok())
+    });
+    assert!(site.nodes.iter().all(|node| node.status().contains(DEADLY_PART)));
+}
+
+/// Runs the command line for the quarantine at the first node; returns what it prints.
+fn run_quarantine(site: &NodeSite, args: &[&str]) -> String {
+    let node = site.nodes[0].metrics_address();
+    let program = env!("CARGO_BIN_EXE_savoryport");
+    let (verb, rest) = args.split_first().expect("a verb");
+    let output = Command::new(program).args(["quarantine", verb, &node]).args(rest).output();
+    String::from_utf8(output.expect("the program runs").stdout).expect("text")
+}
+
+fn has_stored_crashes(site: &NodeSite) -> bool {
+    !site.store.keys(CRASHES_KEY).is_empty()
+}
+
 #[test]
 fn an_operator_lists_the_quarantine_and_clears_a_part_at_all_nodes() {
     let (site, _engines) = start(2, 4);
     await_quarantine(&site);
-    let run = |args: &[&str]| {
-        let node = site.nodes[0].metrics_address();
-        let program = env!("CARGO_BIN_EXE_savoryport");
-        let (verb, rest) = args.split_first().expect("a verb");
-        let output = Command::new(program).args(["quarantine", verb, &node]).args(rest).output();
-        String::from_utf8(output.expect("the program runs").stdout).expect("text")
-    };
+    let run = |args: &[&str]| run_quarantine(&site, args);
     let listed = run(&["list"]);
     assert!(listed.contains(DEADLY_PART) && listed.contains("fragile-"), "{listed}");
     assert!(run(&["clear", DEADLY_PART]).contains("cleared"));
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 mod answered;
+pub mod crash_archive;
 pub mod deployment;
 pub mod entry_subset;
 pub mod event_sequence;
--- a/savoryport_core/src/node/request_quarantine.rs
+++ b/savoryport_core/src/node/request_quarantine.rs
@@ -65,6 +65,10 @@
 /// The number of suspects that are kept of one crash.
 const MAX_SUSPECTS: usize = 96;
 
+/// Nodes notice the same crash within this time of each other. One that is reported with a later time
+/// was read from the store, where ages stand still while all nodes are away.
+const MAX_NOTICE_DELAY: Duration = Duration::from_millis(1_500);
+
 key! {
     /// What the attempts of one request have in common.
     pub struct RequestIdentity {
@@ -385,6 +389,15 @@
     /// Adds what another request or node knows of the same crash; returns whether that is news.
     fn merge(&mut self, reported: Self, answered: &AnsweredIds) -> bool {
         let mut is_changed = reported.is_settled && !self.is_settled;
+        // Times before the crash are kept relative to it.
+        let late_by = reported.at.saturating_duration_since(self.at);
+        let was_late_by = self.at.saturating_duration_since(reported.at);
+        let shift =
+            |late_by: Duration| if late_by > MAX_NOTICE_DELAY { late_by } else { Duration::ZERO };
+        let earlier = |at: Instant, by: Duration| at.checked_sub(by).unwrap_or(at);
+        for suspicion in self.suspects.values_mut() {
+            suspicion.sent_at = earlier(suspicion.sent_at, shift(was_late_by));
+        }
         self.at = self.at.min(reported.at);
         let cleared_after = self.at.checked_sub(ANSWERED_LIFETIME).unwrap_or(self.at);
         let was_answered = |id: u64| answered.get(id).is_some_and(|at| at > cleared_after);
@@ -395,10 +408,11 @@
             return is_changed;
         }
         for (identity, news) in reported.suspects {
+            let sent_at = earlier(news.sent_at, shift(late_by));
             let known = self.suspects.get(&identity).copied();
             let merged = Suspicion {
                 // The last one of several attempts at once counts.
-                sent_at: known.map_or(news.sent_at, |known| known.sent_at.max(news.sent_at)),
+                sent_at: known.map_or(sent_at, |known| known.sent_at.max(sent_at)),
                 is_cleared: news.is_cleared
                     || known.is_some_and(|known| known.is_cleared)
                     || was_answered(identity.id()),
--- a/savoryport_standin/src/metadata.rs
+++ b/savoryport_standin/src/metadata.rs
@@ -132,6 +132,12 @@
         self.shared.changed.notify_all();
     }
 
+    /// Returns the value of a key.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let state = self.shared.lock();
+        STANDARD.decode(&state.contents.keys.get(key)?.value).ok()
+    }
+
     /// Returns the keys that start with a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.shared.lock();
