--- a/savoryport/tests/node_deadly_prompts.rs
+++ b/savoryport/tests/node_deadly_prompts.rs
@@ -191,7 +191,7 @@
 fn what_an_operator_cleared_stays_cleared_after_a_loss_of_power_everywhere() {
     let (mut site, _engines) = start(2, 4);
     await_quarantine(&site);
-    site.wait_until("the crashes are in the store", |site| has_stored_crashes(site));
+    site.wait_until("the crashes are in the store", has_stored_crashes);
     assert!(run_quarantine(&site, &["clear", DEADLY_PART]).contains("cleared"));
     site.wait_until("the crashes are out of the store", |site| !has_stored_crashes(site));
     lose_power_everywhere(&mut site);
@@ -206,9 +206,9 @@
     let (site, _engines) = start(2, 4);
     let copy = site.store.copy();
     await_quarantine(&site);
-    site.wait_until("the crashes are in the store", |site| has_stored_crashes(site));
+    site.wait_until("the crashes are in the store", has_stored_crashes);
     site.store.restore(&copy);
-    site.wait_until("the crashes are in the store again", |site| has_stored_crashes(site));
+    site.wait_until("the crashes are in the store again", has_stored_crashes);
     site.store.write_bytes(CRASHES_KEY, b"{\"parts\":7");
     site.wait_until("the crashes can be read again", |site| {
         let value = site.store.value(CRASHES_KEY);
