Let the largest unfinished response give way when memory is used up

Connections now buffer 32 KB, heads included, in place of the HTTP library's 400 KB; four pieces of a stream wait for its caller in place of 16, and an event has 64 KB. When the memory for bodies is used up, the largest one that is still being read gives way, in place of the one that asks. A body counts until it is written to its caller.

--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -10,7 +10,7 @@
 use savoryport_core::node::crash_archive::CrashArchive;
 use savoryport_core::node::entry_subset::EntrySubset;
 use savoryport_platform::connection::Pool;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -19,6 +19,7 @@
 use super::metrics::NodeMetrics;
 use super::peer_connections::PeerConnections;
 use super::peer_server::PeerReports;
+use super::response_body::SharedResponseMemory;
 use super::routing_state::SharedRoutingState;
 use super::rpc::CopyUse;
 use super::settings::NodeSettings;
@@ -67,9 +68,8 @@
     pub connection_shutdown: CancellationToken,
     /// The tasks that serve callers' connections and streams.
     pub caller_tasks: TaskTracker,
-    /// The memory for servers' responses that are read to their end before they are forwarded, with
-    /// a permit for each KiB.
-    pub response_memory: Semaphore,
+    /// The memory for servers' responses that are read to their end before they are forwarded.
+    pub response_memory: SharedResponseMemory,
     /// The part of the nodes that callers are sent to.
     pub entry_subset: Mutex<EntrySubset>,
     /// The random number generator, seeded from the VM's name and the start time.
--- a/savoryport/src/node/event_splitter.rs
+++ b/savoryport/src/node/event_splitter.rs
@@ -11,7 +11,7 @@
 
 /// The maximum size of an event that is buffered until it is complete, in bytes. Bytes that are no
 /// event may come without end, and to many requests at once.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
+const MAX_EVENT_BYTES: usize = 64 * 1024;
 
 /// Splits bytes into events.
 #[derive(Debug, Clone, Default)]
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -32,6 +32,7 @@
 mod receive;
 mod request_quarantine;
 mod response;
+mod response_body;
 mod routing_state;
 pub mod rpc;
 mod server_limits;
@@ -57,7 +58,7 @@
 use savoryport_core::node::retry_budget::RetryBound;
 use savoryport_platform::connection::Pool;
 use thiserror::Error;
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use xxhash_rust::xxh3::xxh3_64;
@@ -69,6 +70,7 @@
 use self::metrics::NodeMetrics;
 use self::peer_connections::PeerConnections;
 use self::peer_server::PeerReports;
+use self::response_body::SharedResponseMemory;
 use self::routing_state::SharedRoutingState;
 use self::settings::NodeSettings;
 use self::store_reader::StoreHealth;
@@ -173,8 +175,8 @@
     let store_timeout = Duration::from_millis(settings.store_timeout_ms);
     let clock = Arc::new(SystemClock);
     NodeContext {
-        response_memory: Semaphore::new(
-            (settings.memory_mb * 1024 / RESPONSE_MEMORY_PART) as usize,
+        response_memory: SharedResponseMemory::new(
+            (settings.memory_mb * 1024 * 1024 / RESPONSE_MEMORY_PART) as usize,
         ),
         entry_subset: Mutex::new(EntrySubset::new(clock.now())),
         clock,
--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -22,6 +22,7 @@
 use super::context::NodeContext;
 use super::in_flight::InFlightRequest;
 use super::response::{Body, Refusal, RefusalCause, forward_response};
+use super::response_body::CompleteBody;
 use super::server_selection::SelectedServer;
 use super::stream;
 
@@ -82,7 +83,7 @@
     /// Whether a server may have run the request.
     pub(super) may_have_run: bool,
     /// A server's error response, which is forwarded if no other server responds.
-    pub(super) failure_response: Option<(StatusCode, HeaderMap, Bytes)>,
+    pub(super) failure_response: Option<(StatusCode, HeaderMap, CompleteBody)>,
     pub(super) last_server: Option<Name>,
     /// The latency expected of the last server, for the log.
     pub(super) expected_latency: Duration,
--- a/savoryport/src/node/response.rs
+++ b/savoryport/src/node/response.rs
@@ -11,6 +11,8 @@
 use savoryport_adapter::callers::set_retry_after;
 use thiserror::Error;
 
+use super::response_body::CompleteBody;
+
 /// Ends a response body that is incomplete: the connection to the caller is closed without the end
 /// of the body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -140,9 +142,13 @@
 }
 
 /// Builds a response to the caller from a server's complete response.
-pub fn forward_response(status: StatusCode, mut headers: HeaderMap, body: Bytes) -> Response<Body> {
+pub(super) fn forward_response(
+    status: StatusCode,
+    mut headers: HeaderMap,
+    body: CompleteBody,
+) -> Response<Body> {
     headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
-    let mut response = Response::new(full_body(body));
+    let mut response = Response::new(body.into_body());
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
--- a/savoryport/src/node/server_response.rs
+++ b/savoryport/src/node/server_response.rs
@@ -3,9 +3,6 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use hyper::{HeaderMap, StatusCode};
 use savoryport_adapter::servers::{
     RequestedPause, ResponseKind, is_leaving, keep_alive_timeout, promises_not_run,
@@ -13,7 +10,6 @@
 };
 use savoryport_core::Name;
 use savoryport_core::node::health::ServerOutcome;
-use tokio::sync::Semaphore;
 
 use super::proxy::{Attempt, OpenedResponse, ProxyRequest};
 use super::response::forward_response;
@@ -23,9 +19,6 @@
 /// connection can be reused.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// The maximum size of a response body that is buffered in memory, in bytes.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
-
 impl ProxyRequest {
     /// Handles a successful response that is not a stream.
     pub(super) async fn on_complete_response(
@@ -34,7 +27,7 @@
         selected: &SelectedServer,
     ) -> Attempt {
         let OpenedResponse { status, mut headers, body, connection, mut in_flight, .. } = opened;
-        match collect_body(body, self.remaining_time(), &self.cx.response_memory).await {
+        match self.cx.response_memory.read(body, self.remaining_time()).await {
             Some(body) => {
                 in_flight.record_first_token();
                 self.record_answer();
@@ -70,7 +63,7 @@
         self.excluded_servers.push(selected.server.id.clone());
         self.cx.metrics.not_run.inc();
         self.learn_from_refusal(status, selected);
-        if collect_body(body, DISCARD_TIMEOUT, &self.cx.response_memory).await.is_some() {
+        if self.cx.response_memory.read(body, DISCARD_TIMEOUT).await.is_some() {
             self.cx.request_pool.release_with_keep_alive(connection, keep_alive_timeout(&headers));
         }
     }
@@ -153,7 +146,7 @@
         selected: &SelectedServer,
     ) -> Attempt {
         let OpenedResponse { status, mut headers, body, connection, in_flight, .. } = opened;
-        let body = collect_body(body, self.remaining_time(), &self.cx.response_memory).await;
+        let body = self.cx.response_memory.read(body, self.remaining_time()).await;
         drop(in_flight);
         self.may_have_run = true;
         self.record_outcome(&selected.server.id, ServerOutcome::Failed);
@@ -174,19 +167,3 @@
         Attempt::Respond(forward_response(status, headers, body))
     }
 }
-
-/// Reads a complete body; returns `None` if it was incomplete, too large or took longer than
-/// `timeout`, or if all bodies together take up more than `memory`, which has a permit for each KiB.
-async fn collect_body(body: Incoming, timeout: Duration, memory: &Semaphore) -> Option<Bytes> {
-    let collect = async {
-        let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
-        let (mut collected, mut permits) = (BytesMut::new(), Vec::new());
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.ok()?.into_data() else { continue };
-            permits.push(memory.try_acquire_many(data.len().div_ceil(1024) as u32).ok()?);
-            collected.extend_from_slice(&data);
-        }
-        Some(collected.freeze())
-    };
-    tokio::time::timeout(timeout, collect).await.ok()?
-}
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -19,7 +19,7 @@
 use super::server_selection::SelectedServer;
 
 /// The number of chunks that are buffered for a caller that reads slowly.
-const CALLER_BUFFER_CHUNKS: usize = 16;
+const CALLER_BUFFER_CHUNKS: usize = 4;
 
 /// A resumable stream is resumed at another server after this time without data, if its server
 /// sends nothing to any other request of this node either. Callers disconnect after two seconds at
--- a/savoryport/tests/node_bad_servers.rs
+++ b/savoryport/tests/node_bad_servers.rs
@@ -2,15 +2,21 @@
 
 mod node_site;
 
+use std::io::Write as _;
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use node_site::{NodeSite, RequestKind, expected_stream};
+use node_site::{NodeSite, RequestKind, expected_stream, post};
 use savoryport_standin::backend::BackendFault;
 use savoryport_standin::raw_engine::RawEngineFault;
 
 /// The number of requests that meet a server in trouble at once.
 const REQUESTS_AT_ONCE: usize = 36;
 
+/// The number of callers that have a server in trouble at once: its slots and queue, at several servers.
+const CALLERS_AT_ONCE: usize = 240;
+
 /// The memory of the smallest VM of the users' deployments, in MB.
 const SMALLEST_VM_MB: u64 = 160;
 
@@ -60,6 +66,95 @@
     assert!(site.runs().iter().all(|(id, runs)| !id.starts_with("endless-2") || *runs <= 1));
 }
 
+/// Guards against sound answers that are given up since bodies without end have used up the memory for
+/// all.
+#[test]
+fn sound_servers_are_heard_beside_bodies_without_end() {
+    for fault in [BackendFault::EndlessBody, BackendFault::StalledBody { bytes: 2 * 1024 * 1024 }] {
+        check_sound_servers_beside(fault);
+    }
+}
+
+fn check_sound_servers_beside(fault: BackendFault) {
+    let mut site = NodeSite::start(1);
+    site.plain_services.push("endless");
+    site.write_config();
+    for number in 0..3 {
+        let id = format!("endless-{number}");
+        site.add_server(&id, "endless", &[]);
+        site.server(&id).set_fault(fault);
+    }
+    site.wait_for_servers(&["endless-0", "endless-1", "endless-2"]);
+    let is_done = AtomicBool::new(false);
+    let served = std::thread::scope(|scope| {
+        for number in 0..REQUESTS_AT_ONCE {
+            let (site, is_done) = (&site, &is_done);
+            scope.spawn(move || {
+                while !is_done.load(Ordering::Relaxed) {
+                    let id = format!("endless-{number}");
+                    post(&site.nodes[0].callers, &id, "/endless-lookup/x", "");
+                }
+            });
+        }
+        std::thread::sleep(ms(500));
+        let callers: Vec<_> = (0..8)
+            .map(|caller| {
+                let site = &site;
+                let is_served = move |number: &usize| {
+                    let id = format!("sound-{caller}-{number}");
+                    let response = site.send(0, &id, RequestKind::NonIdempotent);
+                    response.status == 200 && response.body == Some(format!("answer to {id}"))
+                };
+                scope.spawn(move || (0..100).filter(is_served).count())
+            })
+            .collect();
+        let served =
+            callers.into_iter().map(|caller| caller.join().expect("the caller's thread ends"));
+        let served: usize = served.sum();
+        is_done.store(true, Ordering::Relaxed);
+        served
+    });
+    assert_eq!(served, 800, "sound answers beside {fault:?}");
+    let peak = site.nodes[0].peak_memory_mb();
+    assert!(peak < SMALLEST_VM_MB, "{peak} MB beside {fault:?}");
+}
+
+/// Guards against memory that grows with the number of connections to a server in trouble.
+#[test]
+fn heads_and_streams_without_end_to_many_callers_do_not_fill_the_memory() {
+    for (fault, route) in [
+        (BackendFault::EndlessHead, "draft"),
+        (BackendFault::EndlessEvent, "draft"),
+        (BackendFault::EndlessEvent, "draft-once"),
+    ] {
+        let site = NodeSite::start(1);
+        set_faults(&site, "engine", fault);
+        // Callers that do not read.
+        let callers: Vec<TcpStream> = (0..CALLERS_AT_ONCE)
+            .map(|number| {
+                let mut caller = TcpStream::connect(&site.nodes[0].callers).expect("it connects");
+                let head = format!(
+                    "POST /{route}/many-{number} HTTP/1.1\r\nHost: site.example\r\n\
+                     X-Attempt-Id: many-{number}\r\nX-Deadline-Ms: 8000\r\nX-Model: m0\r\n\
+                     X-Token-Counts: 100,8\r\nX-Prompt-Prefix: 5c1e07a2:60,{number:x}:40\r\n\
+                     Content-Length: 0\r\n\r\n"
+                );
+                caller.write_all(head.as_bytes()).expect("it is sent");
+                caller
+            })
+            .collect();
+        std::thread::sleep(Duration::from_secs(4));
+        let peak = site.nodes[0].peak_memory_mb();
+        println!("{peak} MB after {fault:?} on {route}");
+        assert!(peak < SMALLEST_VM_MB, "{peak} MB after {fault:?} on {route}");
+        set_faults(&site, "engine", BackendFault::None);
+        drop(callers);
+        site.wait_until("the servers serve again", |site| {
+            site.send(0, "after", RequestKind::Stream("m0")).status == 200
+        });
+    }
+}
+
 #[test]
 fn a_second_copy_of_an_answer_reaches_nobody() {
     let site = NodeSite::start(1);
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -20,6 +20,7 @@
 pub mod registry;
 pub mod request;
 pub mod request_quarantine;
+pub mod response_memory;
 pub mod retry_budget;
 pub mod selection;
 pub mod server_limit;
--- a/savoryport_platform/src/connection.rs
+++ b/savoryport_platform/src/connection.rs
@@ -27,6 +27,10 @@
 /// How long before the server's idle timeout the pool stops using a connection.
 const CLOSE_MARGIN: Duration = Duration::from_millis(500);
 
+/// The largest head of a response, and the most bytes that are read ahead of the receiver of a body. A
+/// server in trouble may send heads without end on each connection.
+const MAX_BUFFER_BYTES: usize = 32 * 1024;
+
 /// The value of `TCP_USER_TIMEOUT`: the connection is closed when sent data stays unacknowledged
 /// for this long. A network path that drops packets silently would not be detected otherwise.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -241,8 +245,10 @@
     let unacknowledged_ms = TCP_USER_TIMEOUT.as_millis() as u32;
     rustix::net::sockopt::set_tcp_user_timeout(&stream, unacknowledged_ms)
         .map_err(|err| err.to_string())?;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_BUFFER_BYTES);
     let (sender, driver) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|err| err.to_string())?;
+        builder.handshake(TokioIo::new(stream)).await.map_err(|err| err.to_string())?;
     // The driver's error is dropped because the request in progress reports it too.
     let driver = tokio::spawn(async { drop(driver.await) });
     Ok(Connection {
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -36,6 +36,9 @@
     pub event_interval: Duration,
 }
 
+/// How long a server keeps the connection of a body that it does not send to the end.
+const STALL: Duration = Duration::from_secs(5);
+
 /// The fault that a server simulates.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum BackendFault {
@@ -67,6 +70,11 @@
     EndlessHead,
     /// Sends a body without end, until the client closes the connection.
     EndlessBody,
+    /// Sends the beginning of a long body, and then nothing until the client closes the connection.
+    StalledBody {
+        /// The number of bytes that it sends.
+        bytes: usize,
+    },
     /// Sends a stream that starts well and goes on with bytes that are no event.
     EndlessEvent,
     /// Sends a second copy of each response a while after the first one, on the same connection.
@@ -369,6 +377,14 @@
             let head = format!("HTTP/1.1 200 OK\r\n{proof}\r\n");
             send_endlessly(req, &head, "");
         }
+        BackendFault::StalledBody { bytes } => {
+            let head = format!("HTTP/1.1 200 OK\r\n{proof}\r\n");
+            let mut writer = req.into_writer();
+            let body = vec![b'x'; bytes];
+            let _ = writer.write_all(head.as_bytes()).and_then(|()| writer.write_all(&body));
+            let _ = writer.flush();
+            thread::sleep(STALL);
+        }
         BackendFault::EndlessEvent => {
             let head = format!(
                 "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{proof}\r\nid: 1\ndata: "
