--- a/savoryport/tests/spoiled_events.rs
+++ b/savoryport/tests/spoiled_events.rs
@@ -10,8 +10,11 @@
 const WRONG_BYTES: &[u8] = b"\n\r: ;idx-+.0123456789\x00\x80\xc3\xff";
 
 fn event(number: u64, line_end: &str) -> String {
-    let version =
-        if number % 5 == 0 { format!("x-weight-versions: 2{line_end}") } else { String::new() };
+    let version = if number.is_multiple_of(5) {
+        format!("x-weight-versions: 2{line_end}")
+    } else {
+        String::new()
+    };
     format!("{version}id: {number}{line_end}data: token {number} of x{line_end}{line_end}")
 }
 
