Refuse what cannot end before a planned stop, and answer the rest

Cause: the path of a request knew nothing of the stop. Its deadline, waits, retries and resumed streams went on until the process ended.

A plan of the stop now decides. From 3 s on, no request is taken, also if only its rest arrives; before that, one that is not expected to end in time is refused as not run, a stream by its tokens. Waits and deadlines for servers end when the last answers are due, in the last sixth of the stop. What is open then gets 503 if no server got it, else 504; streams end incomplete, as before.

--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -1,7 +1,7 @@
 //! The state that the tasks of a node share.
 
-use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
+use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, RngExt};
@@ -9,6 +9,7 @@
 use savoryport_core::clock::Clock;
 use savoryport_core::node::crash_archive::CrashArchive;
 use savoryport_core::node::entry_subset::EntrySubset;
+use savoryport_core::node::stop_plan::StopPlan;
 use savoryport_platform::connection::Pool;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -64,6 +65,10 @@
     pub metrics: NodeMetrics,
     /// Cancelled when the node is asked to stop.
     pub stopping: CancellationToken,
+    /// When the node ends its work, once it was asked to stop.
+    pub stop_plan: OnceLock<StopPlan>,
+    /// Cancelled when each request gets its final answer because the node stops.
+    pub answer_now: CancellationToken,
     /// Cancelled when callers' connections are to be closed after the request in progress.
     pub connection_shutdown: CancellationToken,
     /// The tasks that serve callers' connections and streams.
@@ -82,6 +87,12 @@
         self.clock.now()
     }
 
+    /// Returns the time until a deadline, or until a stopping node gives its final answers.
+    pub fn time_until(&self, deadline: Instant) -> Duration {
+        let deadline = self.stop_plan.get().map_or(deadline, |plan| plan.answer_by.min(deadline));
+        deadline.saturating_duration_since(self.now())
+    }
+
     /// Locks the part of the nodes that callers are sent to.
     pub fn entry_subset(&self) -> MutexGuard<'_, EntrySubset> {
         self.entry_subset.lock().expect("no thread panics while holding the lock")
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -47,7 +47,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, SystemTime};
 
 use rand::SeedableRng;
@@ -56,6 +56,7 @@
 use savoryport_core::clock::{Clock as _, SystemClock};
 use savoryport_core::node::entry_subset::EntrySubset;
 use savoryport_core::node::retry_budget::RetryBound;
+use savoryport_core::node::stop_plan::StopPlan;
 use savoryport_platform::connection::Pool;
 use thiserror::Error;
 use tokio::sync::{Notify, watch};
@@ -76,13 +77,6 @@
 use self::store_reader::StoreHealth;
 use self::view::Member;
 
-/// The time for which a stopping node still accepts requests: callers use an address for up to
-/// three times the TTL that the directory gave.
-const STALE_ADDRESS_PERIOD: Duration = Duration::from_secs(3);
-
-/// The part of `stop_within_s` that is reserved for the steps after requests are drained.
-const STOP_MARGIN: Duration = Duration::from_millis(1_000);
-
 /// The part of the process's memory, as a divisor, that servers' responses may take up while they
 /// are read. They are small, except for those of servers in trouble.
 const RESPONSE_MEMORY_PART: u64 = 8;
@@ -147,19 +141,24 @@
 
 /// Drains callers' requests and gives up leaderships, each with a time limit.
 async fn stop(cx: &NodeContext, leadership_task: tokio::task::JoinHandle<()>) {
-    let drain_timeout =
-        Duration::from_secs_f64(cx.settings.stop_within_s).saturating_sub(STOP_MARGIN);
-    log::info!(within_ms = drain_timeout.as_millis() as u64; "stopping");
+    let (within, now) = (Duration::from_secs_f64(cx.settings.stop_within_s), cx.now());
+    let plan = *cx.stop_plan.get_or_init(|| StopPlan::new(now, within));
+    log::info!(within_ms = (plan.close_by - now).as_millis() as u64; "stopping");
     let drain = async {
-        tokio::time::sleep(STALE_ADDRESS_PERIOD.min(drain_timeout / 2)).await;
+        tokio::time::sleep(plan.refuse_from - now).await;
         cx.connection_shutdown.cancel();
         cx.caller_tasks.close();
-        cx.caller_tasks.wait().await;
+        let until_answers = plan.answer_by.saturating_duration_since(cx.now());
+        if tokio::time::timeout(until_answers, cx.caller_tasks.wait()).await.is_err() {
+            log::warn!(open = cx.caller_tasks.len(); "requests end because the node stops");
+            cx.answer_now.cancel();
+            cx.caller_tasks.wait().await;
+        }
     };
-    if tokio::time::timeout(drain_timeout, drain).await.is_err() {
+    if tokio::time::timeout(plan.close_by - now, drain).await.is_err() {
         log::warn!(open = cx.caller_tasks.len(); "stopped before everything was answered");
     }
-    let _ = tokio::time::timeout(STOP_MARGIN / 2, leadership_task).await;
+    let _ = tokio::time::timeout(StopPlan::exit_margin(within) / 2, leadership_task).await;
     log::info!("stopped");
 }
 
@@ -196,6 +195,8 @@
         crash_seen: Notify::new(),
         metrics: NodeMetrics::default(),
         stopping,
+        stop_plan: OnceLock::new(),
+        answer_now: CancellationToken::new(),
         connection_shutdown: CancellationToken::new(),
         caller_tasks: TaskTracker::new(),
         rng: Mutex::new(SmallRng::seed_from_u64(tenure)),
--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -121,7 +121,9 @@
 /// Serves a caller's request.
 pub async fn serve(cx: Arc<NodeContext>, caller: IpAddr, req: Request<Incoming>) -> Response<Body> {
     let arrived_at = cx.now();
-    match ProxyRequest::receive(cx.clone(), caller, req, arrived_at).await {
+    let receive = ProxyRequest::receive(cx.clone(), caller, req, arrived_at);
+    let received = cx.answer_now.run_until_cancelled(receive).await;
+    match received.unwrap_or_else(|| Err(Refusal::stopping(cx.random_unit()))) {
         Ok(request) => request.run().await,
         Err(refusal) => {
             cx.metrics.record_refusal(refusal.cause);
@@ -136,12 +138,18 @@
             return self.finish_with_refusal(Refusal::new(cause));
         }
         self.record_demand();
+        let answer_now = self.cx.answer_now.clone();
         loop {
-            let selected = match self.select_server().await {
-                Ok(selected) => selected,
-                Err(refusal) => return self.finish_with_refusal(refusal),
+            let selected = match answer_now.run_until_cancelled(self.select_server()).await {
+                Some(Ok(selected)) => selected,
+                Some(Err(refusal)) => return self.finish_with_refusal(refusal),
+                None => return self.finish_because_of_stop(),
             };
-            match self.attempt(selected).await {
+            let Some(attempt) = answer_now.run_until_cancelled(self.attempt(selected)).await else {
+                self.may_have_run |= !self.attempted_servers.is_empty();
+                return self.finish_because_of_stop();
+            };
+            match attempt {
                 Attempt::Respond(response) => return response,
                 Attempt::Stream(opened, selected) => {
                     return stream::forward(self, *opened, selected);
@@ -155,9 +163,10 @@
         }
     }
 
-    /// Returns the time until the request's deadline.
+    /// Returns the time until the request's deadline, or until its final answer if the node stops
+    /// before that.
     pub(super) fn remaining_time(&self) -> Duration {
-        self.deadline.saturating_duration_since(self.cx.now())
+        self.cx.time_until(self.deadline)
     }
 
     /// Returns how long a connection may have been idle that the request is sent on.
@@ -183,7 +192,8 @@
     /// Returns why the request may not be sent to another server, or `None` if it may.
     fn reason_not_to_retry(&self) -> Option<RefusalCause> {
         if self.remaining_time().is_zero() {
-            return Some(RefusalCause::TimedOut);
+            let is_stopping = self.cx.now() < self.deadline;
+            return Some(if is_stopping { RefusalCause::Stopping } else { RefusalCause::TimedOut });
         }
         if self.may_have_run && (self.is_suspect || !self.route.kind.is_repeatable()) {
             return Some(RefusalCause::Broken);
@@ -204,6 +214,7 @@
         const RETRY_AFTER: Duration = Duration::from_millis(250);
         let cause = match cause {
             RefusalCause::CrashesServers if self.may_have_run => RefusalCause::Broken,
+            RefusalCause::Stopping if self.may_have_run => RefusalCause::TimedOut,
             cause if self.may_have_run && promises_not_run(cause.status()) => RefusalCause::Broken,
             cause => cause,
         };
@@ -222,6 +233,7 @@
         }
         let refusal = match refusal.cause {
             cause if self.may_have_run => self.refusal_for(cause),
+            RefusalCause::Stopping => Refusal::stopping(self.cx.random_unit()),
             _ => refusal,
         };
         self.cx.metrics.record_refusal(refusal.cause);
@@ -229,6 +241,12 @@
         refusal.into_response()
     }
 
+    /// Ends a request that no server answered before the node stops.
+    fn finish_because_of_stop(self) -> Response<Body> {
+        let refusal = Refusal::stopping(self.cx.random_unit());
+        self.finish_with_refusal(refusal)
+    }
+
     /// Logs the end of the request and counts it.
     pub(super) fn log_end(&self, outcome: &str, status: u16, retry_after: Option<Duration>) {
         let model = self.head.generation.as_ref().map_or("", |generation| &generation.model);
--- a/savoryport/src/node/receive.rs
+++ b/savoryport/src/node/receive.rs
@@ -26,6 +26,7 @@
         req: Request<Incoming>,
         arrived_at: Instant,
     ) -> Result<Self, Refusal> {
+        refuse_if_stopping(&cx)?;
         let view = cx.fleet.view();
         let retry_after = Duration::from_millis(cx.settings.store_poll_ms);
         let deployment = view
@@ -43,8 +44,10 @@
         let service = service.ok_or(Refusal::new(RefusalCause::NoRoute))?;
         let timeout = head.deadline.unwrap_or(route.timeout);
         let deadline = arrived_at + timeout.min(route.timeout);
-        let body =
-            read_body(body, &deployment, deadline.saturating_duration_since(cx.now())).await?;
+        let time_left = cx.time_until(deadline);
+        let body = read_body(body, &deployment, time_left).await;
+        refuse_if_stopping(&cx)?;
+        let body = body?;
         let identity = identify(caller, &parts, &body);
         let mut headers = parts.headers;
         strip_headers(&mut headers);
@@ -83,6 +86,14 @@
     }
 }
 
+/// Refuses a request that is not complete by the time from which the stopping node takes none.
+fn refuse_if_stopping(cx: &NodeContext) -> Result<(), Refusal> {
+    match cx.stop_plan.get() {
+        Some(plan) if !plan.accepts(cx.now()) => Err(Refusal::stopping(cx.random_unit())),
+        _ => Ok(()),
+    }
+}
+
 fn find_route<'a>(
     deployment: &'a Deployment,
     host: &str,
--- a/savoryport/src/node/response.rs
+++ b/savoryport/src/node/response.rs
@@ -49,6 +49,8 @@
     Quarantined,
     /// The request crashes servers.
     CrashesServers,
+    /// The node stops before a server could answer.
+    Stopping,
     /// No server ran the request.
     NotRun,
     /// A server failed before its response was complete, so the request may have run.
@@ -73,6 +75,7 @@
             Self::Limited => "limited",
             Self::Quarantined => "quarantined",
             Self::CrashesServers => "crashes-servers",
+            Self::Stopping => "stopping",
             Self::NotRun => "not-run",
             Self::Broken => "broken",
             Self::TimedOut => "timed-out",
@@ -90,6 +93,7 @@
             | Self::Overload
             | Self::Limited
             | Self::Quarantined
+            | Self::Stopping
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             // A caller repeats the request after any status that does not blame it.
@@ -122,6 +126,14 @@
         Self { cause, retry_after: Some(after) }
     }
 
+    /// Creates the refusal of a node that stops; other nodes take the request at once. `random` is
+    /// uniform in 0..1.
+    pub fn stopping(random: f64) -> Self {
+        /// The shortest time after which callers come back, so that they do not all come together.
+        const RETRY_AFTER: Duration = Duration::from_millis(50);
+        Self::with_retry_after(RefusalCause::Stopping, RETRY_AFTER.mul_f64(1.0 + random))
+    }
+
     /// Builds the response to the caller.
     pub fn into_response(self) -> Response<Body> {
         let text = format!("{{\"error\":\"{}\"}}", self.cause.name());
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -91,6 +91,9 @@
     /// Selects a server; waits for an adapter or a model if it can be loaded in time.
     pub(super) async fn select_server(&mut self) -> Result<SelectedServer, Refusal> {
         let selected = self.await_server().await?;
+        if !self.ends_before_stop(&selected) {
+            return Err(Refusal::stopping(self.cx.random_unit()));
+        }
         // The news may have come while the request waited.
         if let Some(cause) = self.quarantine_cause() {
             return Err(Refusal::new(cause));
@@ -98,6 +101,16 @@
         Ok(selected)
     }
 
+    /// Returns whether the server is expected to answer completely before the node stops, if it does.
+    fn ends_before_stop(&self, selected: &SelectedServer) -> bool {
+        let Some(plan) = self.cx.stop_plan.get() else { return true };
+        let stream = self.head.generation.as_ref().map_or(Duration::ZERO, |generation| {
+            let routing = self.cx.routing.lock();
+            routing.speeds.stream_time(&generation.model, generation.output_tokens)
+        });
+        plan.allows(self.cx.now(), selected.expected_latency + stream)
+    }
+
     async fn await_server(&mut self) -> Result<SelectedServer, Refusal> {
         if !self.reserve_attempt() {
             return Err(Refusal::with_retry_after(
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -104,7 +104,10 @@
 impl StreamForwarder {
     async fn run(mut self, mut opened: OpenedResponse, mut selected: SelectedServer) {
         loop {
-            let end = self.forward_until_end(&mut opened).await;
+            let answer_now = self.request.cx.answer_now.clone();
+            let forwarding = self.forward_until_end(&mut opened);
+            let end = answer_now.run_until_cancelled(forwarding).await;
+            let end = end.unwrap_or(StreamEnd::TimedOut);
             let status = opened.status.as_u16();
             match end {
                 StreamEnd::Completed => {
@@ -138,7 +141,7 @@
                 self.request.on_unanswered(&selected, sent_at).await;
             }
             self.request.record_outcome(&selected.server.id, ServerOutcome::Unreachable);
-            match self.resume().await {
+            match answer_now.run_until_cancelled(self.resume()).await.flatten() {
                 Some((next_opened, next_selected)) => {
                     (opened, selected) = (next_opened, next_selected)
                 }
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -25,3 +25,4 @@
 pub mod selection;
 pub mod server_limit;
 pub mod server_notices;
+pub mod stop_plan;
--- a/savoryport_core/src/node/selection.rs
+++ b/savoryport_core/src/node/selection.rs
@@ -117,6 +117,14 @@
         per_token * f64::from(tokens) / (f64::from(slots) * WELL_USED_SHARE).max(1.0)
     }
 
+    /// Returns the time from the first token of a stream to its last one, where it is allowed `tokens`
+    /// tokens.
+    pub fn stream_time(&self, model: &str, tokens: u32) -> Duration {
+        let per_token =
+            self.decode_ms_per_token.get(model).copied().unwrap_or(INITIAL_DECODE_MS_PER_TOKEN);
+        Duration::from_secs_f64((per_token * f64::from(tokens) / 1e3).max(0.0))
+    }
+
     /// Updates the averages with the time that a stream took from its first token to its last one,
     /// where it was allowed `tokens` tokens.
     pub fn record_decode(&mut self, model: &Name, tokens: u32, took: Duration) {
