Show that answers cut after any byte are not delivered as whole

Another operator's report: a server stopped in the middle of its answer's head, and clients got 200 with an empty or short body, framed as whole. It cannot happen here: the test cuts answers after each byte of head and body, with a length, in chunks, with neither, and with a reset in place of an end, for non-idempotent, idempotent, resumable and other streaming requests.

What cannot be told apart stays: a body with neither a length nor chunks that ends early, in a stream between two events.

--- a/savoryport/tests/node_bad_servers.rs
+++ b/savoryport/tests/node_bad_servers.rs
@@ -155,6 +155,76 @@
     }
 }
 
+/// Guards against a short answer that is framed as a whole one, since the server closed the connection
+/// inside it, after any of its bytes.
+#[test]
+fn an_answer_that_is_cut_after_any_byte_is_not_delivered_as_whole() {
+    let mut site = NodeSite::start(1);
+    site.plain_services.push("cut");
+    site.models.push(("cut", 0.4));
+    site.write_config();
+    let servers = [
+        site.start_raw_server("cut-plain", "cut", RawEngineFault::CutsAnswers),
+        site.start_raw_engine("cut-engine", "cut", RawEngineFault::CutsAnswers),
+    ];
+    site.wait_for_servers(&["cut-plain", "cut-engine"]);
+    let head_end = |framing: &str| match framing {
+        "length" => "content-length: 00\r\n".len(),
+        "chunked" => "transfer-encoding: chunked\r\n".len(),
+        _ => 0,
+    };
+    let (mut answered, mut reached) = (0, 0);
+    for framing in ["length", "chunked", "close", "reset"] {
+        for bytes in 0..=600 {
+            let cut = format!("cut-{bytes}-{framing}");
+            for (route, kind) in
+                [("cut-commit", 0), ("cut-lookup", 1), ("draft", 2), ("draft-once", 3)]
+            {
+                let is_stream = kind >= 2;
+                let server = &servers[usize::from(is_stream)];
+                let id = format!("{route}-{cut}");
+                let whole =
+                    if is_stream { expected_stream(&id) } else { format!("answer to {id}") };
+                let stamp = if is_stream { "cut-engine" } else { "cut-plain" };
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: stamp.{stamp}\r\n\r\n"
+                )
+                .len()
+                    + head_end(framing);
+                if bytes > head + whole.len() + 24 || (is_stream && bytes > head + 100) {
+                    continue;
+                }
+                let path = format!("/{route}/{cut}");
+                let response = if is_stream {
+                    let prompt = ("cut", "5c1e07a2:60,91bd3f06:40");
+                    site.send_prompt_to_path(0, &id, &path[1..], prompt)
+                } else {
+                    post(&site.nodes[0].callers, &id, &path, "pay")
+                };
+                let runs = server.runs_of(&id);
+                reached += u32::from(runs > 0);
+                assert!(kind == 1 || kind == 2 || runs <= 1, "{id} ran {runs} times");
+                assert!(
+                    runs == 0 || ![408, 421, 429, 503].contains(&response.status),
+                    "{id}: {response:?}"
+                );
+                let Some(body) = response.body.filter(|_| response.status == 200) else { continue };
+                answered += 1;
+                // A body with neither a length nor chunks ends where its connection does; one of a
+                // stream must end between two events.
+                let may_be_short = framing == "close"
+                    && bytes >= head
+                    && whole.starts_with(&body)
+                    && (!is_stream || body.ends_with("\n\n"));
+                let may_be_whole = body == whole && framing != "reset";
+                assert!(may_be_whole || may_be_short, "{id}: {body:?}");
+            }
+        }
+    }
+    println!("{answered} of {reached} were answered");
+    assert!(answered > 0 && reached > 1_000, "{answered} of {reached} were answered");
+}
+
 #[test]
 fn a_second_copy_of_an_answer_reaches_nobody() {
     let site = NodeSite::start(1);
--- a/savoryport_standin/src/raw_engine.rs
+++ b/savoryport_standin/src/raw_engine.rs
@@ -11,6 +11,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rustix::net::sockopt::{set_socket_linger, socket_linger};
 use serde_json::json;
 
 use crate::metadata::MetadataStandin;
@@ -54,6 +55,10 @@
         /// The number of events in a write.
         events_per_write: u64,
     },
+    /// Closes the connection inside each answer. The last part of the path, `cut-BYTES-FRAMING`, tells
+    /// after how many bytes of the answer, and how its body is framed: `length`, `chunked`, `close` or
+    /// `reset`, which is like `close` but resets the connection.
+    CutsAnswers,
     /// Closes the connection of each stream before its first event, without a reset.
     EndsBeforeFirstEvent,
     /// Crashes when it begins to answer a request whose prompt has this part, and starts again
@@ -268,6 +273,12 @@
                 break;
             }
         }
+        if matches!(socket_linger(&stream), Ok(Some(Duration::ZERO))) {
+            // The connection is reset when its last handle is closed.
+            let caller = stream.peer_addr().ok();
+            self.lock().connections.retain(|handle| handle.peer_addr().ok() != caller);
+            return;
+        }
         let _ = stream.shutdown(Shutdown::Both);
     }
 
@@ -311,6 +322,17 @@
         if is_deadly {
             self.lock().deadly_arrivals.push(Instant::now());
         }
+        if self.cfg.fault == RawEngineFault::CutsAnswers
+            && let Some((bytes, framing)) = parse_cut(&head.path)
+        {
+            let answer = framed_answer(id, &server, framing, &self.answer_body(id));
+            let _ = stream.write_all(&answer.as_bytes()[..bytes.min(answer.len())]);
+            if framing == "reset" {
+                thread::sleep(self.cfg.event_interval);
+                let _ = set_socket_linger(&*stream, Some(Duration::ZERO));
+            }
+            return false;
+        }
         if self.cfg.models.is_empty() {
             return self.run_plain_request(id, &server, is_deadly, stream);
         }
@@ -361,6 +383,16 @@
         false
     }
 
+    /// Returns the whole body of the answer to a request.
+    fn answer_body(&self, id: &str) -> String {
+        match self.cfg.events_per_stream {
+            0 => format!("answer to {id}"),
+            events => (1..=events)
+                .map(|event| format!("id: {event}\ndata: event {event} of {id}\n\n"))
+                .collect(),
+        }
+    }
+
     /// Runs a request of a plain service; returns whether the connection stays open.
     fn run_plain_request(
         &self,
@@ -394,6 +426,30 @@
     }
 }
 
+/// Parses the path of a request whose answer is cut.
+fn parse_cut(path: &str) -> Option<(usize, &str)> {
+    let (_, cut) = path.rsplit_once("/cut-")?;
+    let (bytes, framing) = cut.split_once('-')?;
+    Some((bytes.parse().ok()?, framing))
+}
+
+/// Returns a whole answer, of which the body is framed as asked.
+fn framed_answer(id: &str, server: &str, framing: &str, body: &str) -> String {
+    let (header, body) = match framing {
+        "length" => (format!("content-length: {}\r\n", body.len()), body.to_owned()),
+        "chunked" => {
+            let (first, second) = body.split_at(body.len() / 2);
+            let chunk = |data: &str| format!("{:x}\r\n{data}\r\n", data.len());
+            let body = format!("{}{}0\r\n\r\n", chunk(first), chunk(second));
+            ("transfer-encoding: chunked\r\n".to_owned(), body)
+        }
+        _ => (String::new(), body.to_owned()),
+    };
+    format!(
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Stamp: stamp.{server}\r\n{header}\r\n{body}"
+    )
+}
+
 /// Reads a request and skips its body; returns `None` if the client has closed the connection.
 fn read_request(reader: &mut BufReader<TcpStream>) -> Option<RequestHead> {
     let mut line = String::new();
