--- a/savoryport/tests/node_bad_servers.rs
+++ b/savoryport/tests/node_bad_servers.rs
@@ -385,6 +385,27 @@
     }
 }
 
+/// Guards against a failure of another request that a caller gets as the answer to its own.
+#[test]
+fn late_failure_without_an_id_is_not_the_answer_to_the_next_request() {
+    for fault in [BackendFault::RepeatsFailures, BackendFault::SwitchesProtocols] {
+        let site = NodeSite::start(1);
+        for number in 0..12 {
+            set_faults(&site, "plain", BackendFault::None);
+            // Leaves a connection to each server open.
+            for warm in 0..6 {
+                let id = format!("warm-{number}-{warm}");
+                assert_eq!(site.send(0, &id, RequestKind::NonIdempotent).status, 200);
+            }
+            set_faults(&site, "plain", fault);
+            let id = format!("ran-{number}");
+            let response = site.send(0, &id, RequestKind::NonIdempotent);
+            assert!(site.runs_of(&id) <= 1, "{id} ran twice");
+            assert_eq!((response.status, response.server_stamp), (502, None), "{fault:?}");
+        }
+    }
+}
+
 #[test]
 fn stream_that_breaks_before_a_server_with_an_error_ends_incomplete_and_without_the_error() {
     for fault in [BackendFault::InternalError, BackendFault::WrongRequestId, BackendFault::Full] {
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -84,6 +84,10 @@
     },
     /// Sends an earlier refusal, which names no request, once more before each response.
     RepeatsRefusals,
+    /// Sends a failure of an earlier request, without its id, before each response.
+    RepeatsFailures,
+    /// Switches to another protocol, for which nobody asked, before each response.
+    SwitchesProtocols,
     /// Sends one byte of a response at a time and never completes an event.
     Drips {
         /// The time between two bytes.
@@ -392,9 +396,16 @@
             send_endlessly(req, &head, "");
         }
         BackendFault::Drips { interval } => drip(req, &proof, interval),
-        BackendFault::RepeatsRefusals => {
+        BackendFault::RepeatsRefusals
+        | BackendFault::RepeatsFailures
+        | BackendFault::SwitchesProtocols => {
             let body = format!("answer to {id}");
-            let refusal = "HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\ncontent-length: 0\r\n\r\n";
+            let refusal = match fault {
+                BackendFault::RepeatsRefusals => "503 x\r\nX-Not-Executed: 1",
+                BackendFault::RepeatsFailures => "500 x\r\nX-Server-Stamp: stamp.earlier",
+                _ => "101 Switching Protocols\r\nupgrade: other\r\nconnection: upgrade",
+            };
+            let refusal = format!("HTTP/1.1 {refusal}\r\ncontent-length: 0\r\n\r\n");
             let response =
                 format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n{proof}\r\n{body}", body.len());
             let mut writer = req.into_writer();
