Take an idle timeout beyond the clock's range for none

Cause: the time was added to an Instant, which panics beyond the clock's range, under the lock of the connection pool, which stayed poisoned. The sum is checked now, and a time beyond the range counts as none. The other times from outside were read: each is bounded or checked.

Test: idle_timeout_beyond_all_bounds_does_not_end_the_node failed before, from the first request on (status 0).

--- a/savoryport/tests/node_bad_servers.rs
+++ b/savoryport/tests/node_bad_servers.rs
@@ -406,6 +406,19 @@
     }
 }
 
+/// Guards against a time in an answer that ends the process, or that leaves a lock poisoned.
+#[test]
+fn idle_timeout_beyond_all_bounds_does_not_end_the_node() {
+    let site = NodeSite::start(1);
+    set_faults(&site, "plain", BackendFault::KeepsConnectionsForever);
+    for number in 0..20 {
+        let id = format!("kept-{number}");
+        let response = site.send(0, &id, RequestKind::NonIdempotent);
+        assert_eq!((response.status, response.body), (200, Some(format!("answer to {id}"))));
+    }
+    assert_eq!(site.send(0, "stream", RequestKind::Stream("m0")).status, 200);
+}
+
 #[test]
 fn stream_that_breaks_before_a_server_with_an_error_ends_incomplete_and_without_the_error() {
     for fault in [BackendFault::InternalError, BackendFault::WrongRequestId, BackendFault::Full] {
--- a/savoryport_platform/src/connection.rs
+++ b/savoryport_platform/src/connection.rs
@@ -163,7 +163,9 @@
         let connections = idle.entry(connection.address.clone()).or_default();
         if !connection.sender.is_closed() && connections.len() < MAX_IDLE_PER_SERVER {
             let idle_since = Instant::now();
-            let expires_at = keep_alive.map(|time| idle_since + time.saturating_sub(CLOSE_MARGIN));
+            // A time beyond the clock's range is no time.
+            let expires_at = keep_alive
+                .and_then(|time| idle_since.checked_add(time.saturating_sub(CLOSE_MARGIN)));
             connections.push(IdleConnection { connection, idle_since, expires_at });
         }
     }
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -88,6 +88,8 @@
     RepeatsFailures,
     /// Switches to another protocol, for which nobody asked, before each response.
     SwitchesProtocols,
+    /// Names a time for which it keeps idle connections that is beyond all bounds.
+    KeepsConnectionsForever,
     /// Sends one byte of a response at a time and never completes an event.
     Drips {
         /// The time between two bytes.
@@ -396,6 +398,11 @@
             send_endlessly(req, &head, "");
         }
         BackendFault::Drips { interval } => drip(req, &proof, interval),
+        BackendFault::KeepsConnectionsForever => {
+            thread::sleep(cfg.event_interval);
+            let headers = format!("{proof}Keep-Alive: timeout={}\r\n", u64::MAX);
+            respond(req, 200, &headers, &format!("answer to {id}"));
+        }
         BackendFault::RepeatsRefusals
         | BackendFault::RepeatsFailures
         | BackendFault::SwitchesProtocols => {
