Let retries and resumed streams go on in a planned stop until its last answers

A stream that is resumed has fewer events left than its estimate says, and an attempt that may have run gains nothing from an early end. Only requests that no server got are refused because they are not expected to end in time.

--- a/savoryport/src/node/leadership.rs
+++ b/savoryport/src/node/leadership.rs
@@ -166,7 +166,7 @@
             // The write may still take effect, but not once its lease has ended.
             Err(err) => {
                 log::warn!(domain = &**domain, err:% = err; "leadership not acquired");
-                end_lease_of(cx, domain, lease).await;
+                end_lease_if_ours(cx, domain, lease).await;
             }
         }
     }
@@ -266,13 +266,13 @@
     for controller in cx.controllers.all() {
         cx.controllers.close(&controller);
         log::info!(domain = &*controller.domain; "duty given up");
-        end_lease_of(cx, &controller.domain, controller.lease()).await;
+        end_lease_if_ours(cx, &controller.domain, controller.lease()).await;
     }
 }
 
 /// Ends a lease of a leadership, unless the store has gone back to a copy since its last answer: the
 /// id may be that of another node's lease then.
-async fn end_lease_of(cx: &NodeContext, domain: &Name, lease: Lease) {
+async fn end_lease_if_ours(cx: &NodeContext, domain: &Name, lease: Lease) {
     cx.metrics.store_calls.inc();
     match cx.store.get(&leader_key(domain)).await {
         Ok(_) => end_lease(cx, lease).await,
--- a/savoryport/src/node/response.rs
+++ b/savoryport/src/node/response.rs
@@ -129,7 +129,7 @@
     /// Creates the refusal of a node that stops; other nodes take the request at once. `random` is
     /// uniform in 0..1.
     pub fn stopping(random: f64) -> Self {
-        /// The shortest time after which callers come back, so that they do not all come together.
+        /// The shortest time after which callers retry; it varies, so that they do not retry together.
         const RETRY_AFTER: Duration = Duration::from_millis(50);
         Self::with_retry_after(RefusalCause::Stopping, RETRY_AFTER.mul_f64(1.0 + random))
     }
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -91,7 +91,7 @@
     /// Selects a server; waits for an adapter or a model if it can be loaded in time.
     pub(super) async fn select_server(&mut self) -> Result<SelectedServer, Refusal> {
         let selected = self.await_server().await?;
-        if !self.ends_before_stop(&selected) {
+        if self.attempted_servers.is_empty() && !self.ends_before_stop(&selected) {
             return Err(Refusal::stopping(self.cx.random_unit()));
         }
         // The news may have come while the request waited.
--- a/savoryport/tests/node_bad_servers.rs
+++ b/savoryport/tests/node_bad_servers.rs
@@ -66,8 +66,8 @@
     assert!(site.runs().iter().all(|(id, runs)| !id.starts_with("endless-2") || *runs <= 1));
 }
 
-/// Guards against sound answers that are given up since bodies without end have used up the memory for
-/// all.
+/// Guards against sound answers that are abandoned since bodies without end have used up the memory
+/// for all.
 #[test]
 fn sound_servers_are_heard_beside_bodies_without_end() {
     for fault in [BackendFault::EndlessBody, BackendFault::StalledBody { bytes: 2 * 1024 * 1024 }] {
@@ -366,16 +366,20 @@
     }
 }
 
+/// Leaves a connection to each sound server open.
+fn open_connections(site: &NodeSite, round: usize) {
+    set_faults(site, "plain", BackendFault::None);
+    for number in 0..6 {
+        let id = format!("warm-{round}-{number}");
+        assert_eq!(site.send(0, &id, RequestKind::NonIdempotent).status, 200);
+    }
+}
+
 #[test]
 fn earlier_refusal_on_a_kept_connection_is_no_promise_that_a_request_has_not_run() {
     let site = NodeSite::start(1);
     for number in 0..12 {
-        set_faults(&site, "plain", BackendFault::None);
-        // Leaves a connection to each server open.
-        for warm in 0..6 {
-            let id = format!("warm-{number}-{warm}");
-            assert_eq!(site.send(0, &id, RequestKind::NonIdempotent).status, 200);
-        }
+        open_connections(&site, number);
         set_faults(&site, "plain", BackendFault::RepeatsRefusals);
         let id = format!("ran-{number}");
         let response = site.send(0, &id, RequestKind::NonIdempotent);
@@ -391,12 +395,7 @@
     for fault in [BackendFault::RepeatsFailures, BackendFault::SwitchesProtocols] {
         let site = NodeSite::start(1);
         for number in 0..12 {
-            set_faults(&site, "plain", BackendFault::None);
-            // Leaves a connection to each server open.
-            for warm in 0..6 {
-                let id = format!("warm-{number}-{warm}");
-                assert_eq!(site.send(0, &id, RequestKind::NonIdempotent).status, 200);
-            }
+            open_connections(&site, number);
             set_faults(&site, "plain", fault);
             let id = format!("ran-{number}");
             let response = site.send(0, &id, RequestKind::NonIdempotent);
