Name the team of a request by its key, and let old configurations accept no keys

Requests of deployments with teams went through with the caller's key and whatever X-Tenant it sent: servers saw the key, and no node knew which keys are valid. A request on a route that is not public now needs the key of a team; servers get the team's name alone, and the team's rank takes precedence over the route's. Nodes know as of which moment their configuration was the newest one, from the store or from their leader, and refuse requests with keys when that is longer ago than a withdrawn key may work.

--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, RngExt};
 use savoryport_adapter::store::StoreClient;
 use savoryport_core::clock::Clock;
+use savoryport_core::node::config_age::ConfigAge;
 use savoryport_core::node::crash_archive::CrashArchive;
 use savoryport_core::node::entry_subset::EntrySubset;
 use savoryport_core::node::stop_plan::StopPlan;
@@ -61,6 +62,8 @@
     pub crash_archive: Mutex<CrashArchive>,
     /// Notified when this node sees a crash, which its leader should learn of at once.
     pub crash_seen: Notify,
+    /// The moment as of which the configuration is known to be the newest one.
+    pub config_age: Mutex<ConfigAge>,
     /// The node's counters and histograms.
     pub metrics: NodeMetrics,
     /// Cancelled when the node is asked to stop.
--- a/savoryport/src/node/exchange.rs
+++ b/savoryport/src/node/exchange.rs
@@ -7,6 +7,7 @@
 use savoryport_core::Name;
 use savoryport_core::node::load::ServerLoad;
 
+use super::config_age::confirm_config_of_peer;
 use super::context::NodeContext;
 use super::peer_server::{add_loads, record_prompts};
 use super::quarantine::{crash_exchange, merge_crashes};
@@ -73,7 +74,7 @@
     leader: &DomainLeader,
     have: Position,
 ) -> Option<Position> {
-    let now = cx.now();
+    let (now, asked_at) = (cx.now(), cx.lease_clock.now());
     let mut loads: HashMap<Name, ServerLoad> = cx.peer_reports.other_loads(None, false, now);
     add_loads(&mut loads, cx.routing.lock().loads.own());
     let (revision, limits) = limits_since(cx, have.sent_limits);
@@ -109,6 +110,7 @@
         }
     };
     fetch_config(cx, leader, &Arc::default(), reply.position.config);
+    confirm_config_of_peer(cx, reply.position.config, reply.config_age_ms, asked_at);
     cx.peer_reports.record_domain_loads(domain, reply.loads.clone(), cx.now());
     cx.peer_reports.add_domain_prompts(&reply.prompts);
     record_prompts(cx, &reply.prompts, cx.now());
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -10,6 +10,7 @@
 
 mod callers;
 mod clock;
+mod config_age;
 mod context;
 mod crash_archive;
 mod directory;
@@ -193,6 +194,7 @@
         controllers: DomainControllers::default(),
         crash_archive: Mutex::default(),
         crash_seen: Notify::new(),
+        config_age: Mutex::default(),
         metrics: NodeMetrics::default(),
         stopping,
         stop_plan: OnceLock::new(),
--- a/savoryport/src/node/peer_server.rs
+++ b/savoryport/src/node/peer_server.rs
@@ -17,6 +17,7 @@
 use tarpc::tokio_serde::formats::Bincode;
 
 use super::NodeError;
+use super::config_age::config_age_ms;
 use super::context::NodeContext;
 use super::prompt_log::PromptLog;
 use super::quarantine::{crash_exchange, merge_crashes};
@@ -229,6 +230,7 @@
             servers: Vec::new(),
             removed: Vec::new(),
             members: None,
+            config_age_ms: config_age_ms(cx),
             loads: loads.into_iter().collect(),
             prompts,
             crashes: crash_exchange(cx, Some(their_digest)),
--- a/savoryport/src/node/receive.rs
+++ b/savoryport/src/node/receive.rs
@@ -6,14 +6,19 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::Request;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
-use savoryport_adapter::callers::{content_headers, decode_request_head, strip_headers};
+use hyper::{HeaderMap, Request};
+use savoryport_adapter::callers::{
+    content_headers, decode_request_head, request_key, set_team, strip_headers,
+};
+use savoryport_core::node::admission::retry_after;
 use savoryport_core::node::deployment::{Deployment, Route};
 use savoryport_core::node::request_quarantine::{RequestIdentity, hash_caller, hash_content};
+use savoryport_core::node::team::Team;
 
+use super::config_age::confirms_keys;
 use super::context::NodeContext;
 use super::proxy::ProxyRequest;
 use super::response::{Refusal, RefusalCause};
@@ -35,7 +40,18 @@
             .ok_or(Refusal::with_retry_after(RefusalCause::NoConfig, retry_after))?;
         let (parts, body) = req.into_parts();
         let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-        let route = find_route(&deployment, host, parts.uri.path())?.clone();
+        let mut route = find_route(&deployment, host, parts.uri.path())?.clone();
+        let team = find_team(&cx, &deployment, &route, &parts.headers);
+        let team = match team {
+            Ok(team) => team,
+            Err(refusal) => {
+                discard_body(body).await;
+                return Err(refusal);
+            }
+        };
+        if let Some(rank) = team.as_ref().and_then(|team| team.rank) {
+            route.rank = rank;
+        }
         let head = decode_request_head(&parts.headers).map_err(|err| {
             log::debug!(err:% = err; "request headers refused");
             Refusal::new(RefusalCause::BadHead)
@@ -51,6 +67,9 @@
         let identity = identify(caller, &parts, &body);
         let mut headers = parts.headers;
         strip_headers(&mut headers);
+        if deployment.teams.is_some() {
+            set_team(&mut headers, team.as_deref());
+        }
         let prefix_keys =
             head.generation.as_ref().map(|generation| generation.prefix_keys()).unwrap_or_default();
         let path_and_query =
@@ -106,6 +125,39 @@
         .ok_or(Refusal::new(RefusalCause::NoRoute))
 }
 
+/// Returns the team whose key a request names; none where the operators configure no teams.
+fn find_team(
+    cx: &NodeContext,
+    deployment: &Deployment,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<Arc<Team>>, Refusal> {
+    let Some(teams) = &deployment.teams else { return Ok(None) };
+    if !confirms_keys(cx) {
+        let retry_after =
+            retry_after(Duration::from_millis(cx.settings.store_poll_ms), cx.random_unit());
+        let refusal = Refusal::with_retry_after(RefusalCause::KeysUnconfirmed, retry_after);
+        return if route.is_public { Ok(None) } else { Err(refusal) };
+    }
+    match request_key(headers).and_then(|key| teams.team_of(key)) {
+        Some(team) => Ok(Some(team.clone())),
+        None if route.is_public => Ok(None),
+        None => Err(Refusal::new(RefusalCause::UnknownKey)),
+    }
+}
+
+/// Reads a short body that nobody needs. A connection that is closed with unread bytes is reset, and
+/// the caller may lose the refusal.
+async fn discard_body(body: Incoming) {
+    /// Longer bodies, or those without a length, are not read.
+    const MAX_BYTES: u64 = 64 * 1024;
+    /// The time for the rest of the body to arrive.
+    const TIMEOUT: Duration = Duration::from_millis(500);
+    if body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_BYTES) {
+        let _ = tokio::time::timeout(TIMEOUT, body.collect()).await;
+    }
+}
+
 /// Returns what the attempts of one request have in common. A deadline or an attempt's id differs in
 /// each of them.
 fn identify(caller: IpAddr, head: &Parts, body: &[u8]) -> RequestIdentity {
--- a/savoryport/src/node/response.rs
+++ b/savoryport/src/node/response.rs
@@ -29,6 +29,10 @@
     NoConfig,
     /// No route matches the host and path.
     NoRoute,
+    /// The request names no key, or one of no team.
+    UnknownKey,
+    /// Keys may have been withdrawn that this node takes for valid.
+    KeysUnconfirmed,
     /// The request headers are malformed.
     BadHead,
     /// The request body exceeds the size limit.
@@ -65,6 +69,8 @@
         match self {
             Self::NoConfig => "no-config",
             Self::NoRoute => "no-route",
+            Self::UnknownKey => "unknown-key",
+            Self::KeysUnconfirmed => "keys-unconfirmed",
             Self::BadHead => "bad-head",
             Self::BodyTooLong => "body-too-long",
             Self::BodyMissing => "body-missing",
@@ -87,6 +93,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::NoConfig
+            | Self::KeysUnconfirmed
             | Self::NoServer
             | Self::NoModel
             | Self::NoAdapter
@@ -96,6 +103,7 @@
             | Self::Stopping
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
             // A caller repeats the request after any status that does not blame it.
             Self::BadHead | Self::CrashesServers => StatusCode::BAD_REQUEST,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -148,6 +148,9 @@
     pub removed: Vec<Name>,
     /// The members and leaders, if they changed.
     pub members: Option<Membership>,
+    /// The time since the called node's configuration was known to be the newest one, in
+    /// milliseconds; `None` if it is not known to have been.
+    pub config_age_ms: Option<u64>,
     /// The load on each server: for a follower by all other nodes, for a leader by the called
     /// node's failure domain.
     pub loads: Vec<(Name, ServerLoad)>,
--- a/savoryport/src/node/settings.rs
+++ b/savoryport/src/node/settings.rs
@@ -93,6 +93,10 @@
     /// The time that the selection adds to the expected latency of a server to which this node has
     /// no open connection, in milliseconds. Default 8.
     pub new_connection_ms: f64,
+    /// The time within which a key that the operators withdraw must stop working at every node, in
+    /// milliseconds. A node that may not have heard of it refuses requests with keys. 0 or absent
+    /// turns this off. Default 0.
+    pub key_withdrawal_ms: u64,
     /// The log level: `error`, `warn`, `info` or `debug`. Default `info`.
     pub log_level: String,
 }
@@ -134,6 +138,7 @@
             other_domain_ms: 8.0,
             other_region_ms: 90.0,
             new_connection_ms: 8.0,
+            key_withdrawal_ms: 0,
             log_level: "info".to_owned(),
         }
     }
--- a/savoryport/src/node/store_reader.rs
+++ b/savoryport/src/node/store_reader.rs
@@ -13,6 +13,7 @@
 use savoryport_core::node::registry::MISSING_GRACE;
 use tokio::sync::watch;
 
+use super::config_age::confirm_config;
 use super::context::NodeContext;
 use super::crash_archive;
 use super::fleet::FleetState;
@@ -212,6 +213,7 @@
 
 async fn read_all(cx: &NodeContext, position: &mut Position) -> Result<(), StoreError> {
     cx.metrics.store_calls.inc();
+    let asked_at = cx.lease_clock.now();
     let revision = match position.all {
         None => {
             let listing = cx.store.list("").await?;
@@ -240,6 +242,7 @@
             changes.revision.max(after)
         }
     };
+    confirm_config(cx, asked_at);
     *position = Position { all: Some(revision), leader: revision };
     Ok(())
 }
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -11,6 +11,7 @@
 use savoryport_core::node::server_limit::LimitReport;
 use tokio::sync::watch;
 
+use super::config_age::confirm_config_of_peer;
 use super::context::NodeContext;
 use super::peer_server::record_prompts;
 use super::quarantine::{crash_exchange, expire_crashes, merge_crashes};
@@ -181,7 +182,7 @@
     if following.leader.as_ref() != Some(&leader) {
         *following = Following { leader: Some(leader.clone()), ..Following::default() };
     }
-    let called_at = cx.now();
+    let (called_at, asked_at) = (cx.now(), cx.lease_clock.now());
     let (revision, limits) = limits_since(cx, following.sent_limits);
     let (crashes_revision, request_crashes) =
         request_crashes_since(cx, following.sent_request_crashes);
@@ -195,6 +196,7 @@
             }
             (following.failing_since, following.is_lost) = (None, false);
             fetch_config(cx, &leader, &following.fetching, reply.position.config);
+            confirm_config_of_peer(cx, reply.position.config, reply.config_age_ms, asked_at);
             apply_reply(cx, following, reply, applies_servers)
         }
         Err(err) => {
--- a/savoryport_core/src/node/deployment.rs
+++ b/savoryport_core/src/node/deployment.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::Name;
+use crate::node::team::TeamDirectory;
 
 /// Whether and how a request may be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,6 +54,8 @@
     pub rank: u8,
     /// The largest number of servers to which one request is sent.
     pub max_attempts: u32,
+    /// Whether its requests need no key.
+    pub is_public: bool,
     /// The services that answer its requests, with their weights.
     pub services: SmallVec<[(Name, u32); 2]>,
 }
@@ -147,6 +150,8 @@
     pub services: BTreeMap<Name, Service>,
     /// Bounds on what callers may send.
     pub limits: CallerLimits,
+    /// The teams, if requests need the key of one.
+    pub teams: Option<TeamDirectory>,
 }
 
 impl Deployment {
@@ -156,6 +161,7 @@
         routes: Vec<Route>,
         services: BTreeMap<Name, Service>,
         limits: CallerLimits,
+        teams: Option<TeamDirectory>,
     ) -> Self {
         let mut by_host: BTreeMap<Name, Vec<Route>> = BTreeMap::new();
         for route in routes {
@@ -164,7 +170,7 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        Self { version, routes: by_host, services, limits }
+        Self { version, routes: by_host, services, limits, teams }
     }
 
     /// Returns the route of a request: the one of its host with the longest matching path prefix.
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 mod answered;
+pub mod config_age;
 pub mod crash_archive;
 pub mod deployment;
 pub mod entry_subset;
@@ -26,3 +27,4 @@
 pub mod server_limit;
 pub mod server_notices;
 pub mod stop_plan;
+pub mod team;
--- a/savoryport_core/src/node/request.rs
+++ b/savoryport_core/src/node/request.rs
@@ -27,6 +27,8 @@
     pub prompt_tokens: u32,
     /// The largest number of tokens to generate.
     pub output_tokens: u32,
+    /// Whether the request states these numbers.
+    pub states_tokens: bool,
     /// The prompt's parts in order; the last one is specific to the request or its session.
     pub parts: SmallVec<[PromptPart; 4]>,
 }
@@ -36,6 +38,11 @@
 pub type PrefixKeys = SmallVec<[(u64, u32); 4]>;
 
 impl Generation {
+    /// Returns the sum of the tokens that the request states, if it does.
+    pub fn stated_tokens(&self) -> Option<u64> {
+        self.states_tokens.then(|| u64::from(self.prompt_tokens) + u64::from(self.output_tokens))
+    }
+
     /// Returns the key and the length of each prefix. A cached part is only of use to the same
     /// model and adapter, and only after the same preceding parts, so each key is a hash of all of
     /// these.
--- a/savoryport_core/tests/node_decisions.rs
+++ b/savoryport_core/tests/node_decisions.rs
@@ -40,6 +40,7 @@
         adapter: None,
         prompt_tokens: 9_190,
         output_tokens: 50,
+        states_tokens: true,
         parts: parts.into_iter().collect(),
     }
 }
