Decide whether a request is within its team's quota over all nodes

Cause: a team's limit holds for all nodes together, and nodes learn of each other's requests up to several hundred milliseconds late. If all admit while their copies of the bucket show a surplus, they overshoot together.

Change: TeamQuotas models the whole system's use in one token bucket per team, charges own requests at once and those of others as reported, estimates what is not reported yet, and admits demand above the limit with a probability that settles the bucket. A node that does not hear of all others spends only its part. Members of a domain whose leader is in the store, but not heard of, are counted beyond 8 s, so that a longer partition does not double a limit.

--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -28,3 +28,4 @@
 pub mod server_notices;
 pub mod stop_plan;
 pub mod team;
+pub mod team_quota;
