Charge requests to their team's quota and exchange the use of teams

Cause: nodes admit requests without regard to the limits of teams.

Change: a complete request is charged to its team before a server is chosen, and refused with 429, cause quota and Retry-After beyond the limit. What no server can have run is given back. The use of teams travels with the existing syncs, as totals that changed since the last one; without limits of teams the messages carry none.

Not tried in a deployment.

--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -26,6 +26,7 @@
 use super::rpc::CopyUse;
 use super::settings::NodeSettings;
 use super::store_reader::StoreHealth;
+use super::team_quota::NodeQuotas;
 use super::view::Member;
 
 /// The state shared by all tasks of a node.
@@ -64,6 +65,8 @@
     pub crash_seen: Notify,
     /// The moment as of which the configuration is known to be the newest one.
     pub config_age: Mutex<ConfigAge>,
+    /// What teams have left of their quotas.
+    pub quotas: Mutex<NodeQuotas>,
     /// The node's counters and histograms.
     pub metrics: NodeMetrics,
     /// Cancelled when the node is asked to stop.
--- a/savoryport/src/node/exchange.rs
+++ b/savoryport/src/node/exchange.rs
@@ -6,6 +6,7 @@
 
 use savoryport_core::Name;
 use savoryport_core::node::load::ServerLoad;
+use savoryport_core::node::team_quota::{Recipient, Reporter};
 
 use super::config_age::confirm_config_of_peer;
 use super::context::NodeContext;
@@ -15,6 +16,7 @@
 use super::rpc::{Role, SyncPosition, SyncRequest};
 use super::server_limits::{limits_since, merge_limits};
 use super::sync::fetch_config;
+use super::team_quota::{record_team_use, team_use_report};
 use super::view::DomainLeader;
 
 /// Timeout for one call to the leader of another failure domain, which may be in another region.
@@ -30,6 +32,10 @@
     sent_limits: u64,
     /// The revision up to which it knows this node's crashes with the requests that were at them.
     sent_request_crashes: u64,
+    /// The revision up to which it knows the use of teams' quotas in this failure domain.
+    sent_team_use: u64,
+    /// The revision of its totals of that use that this node has.
+    have_team_use: u64,
 }
 
 /// Exchanges loads and changes with the leaders of other failure domains while this node leads one.
@@ -79,6 +85,9 @@
     add_loads(&mut loads, cx.routing.lock().loads.own());
     let (revision, limits) = limits_since(cx, have.sent_limits);
     let (crashes_revision, request_crashes) = request_crashes_since(cx, have.sent_request_crashes);
+    let team_use =
+        team_use_report(cx, Recipient::OtherLeader, have.sent_team_use, have.have_team_use);
+    let team_use_revision = team_use.as_ref().map_or(0, |report| report.revision);
     let req = SyncRequest {
         member: cx.member.clone(),
         role: Role::Holder,
@@ -96,6 +105,7 @@
         crashes: crash_exchange(cx, have.crash_digest),
         limits,
         request_crashes,
+        team_use,
     };
     let exchange = async {
         let connection = cx.peers.get_or_connect(leader.peers).await?;
@@ -111,6 +121,8 @@
     };
     fetch_config(cx, leader, &Arc::default(), reply.position.config);
     confirm_config_of_peer(cx, reply.position.config, reply.config_age_ms, asked_at);
+    let reporter = Reporter::OtherLeader(leader.vm.clone());
+    record_team_use(cx, &reporter, reply.team_use.as_ref(), asked_at);
     cx.peer_reports.record_domain_loads(domain, reply.loads.clone(), cx.now());
     cx.peer_reports.add_domain_prompts(&reply.prompts);
     record_prompts(cx, &reply.prompts, cx.now());
@@ -134,5 +146,14 @@
     let is_same_tenure = have.sync.tenure == reply.position.tenure;
     let sent_limits = if is_same_tenure { revision } else { 0 };
     let sent_request_crashes = if is_same_tenure { crashes_revision } else { 0 };
-    Some(Position { sync: reply.position, crash_digest, sent_limits, sent_request_crashes })
+    let sent_team_use = if is_same_tenure { team_use_revision } else { 0 };
+    let have_team_use = reply.team_use.as_ref().map_or(0, |report| report.revision);
+    Some(Position {
+        sync: reply.position,
+        crash_digest,
+        sent_limits,
+        sent_request_crashes,
+        sent_team_use,
+        have_team_use,
+    })
 }
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -44,6 +44,7 @@
 pub mod store_reader;
 mod stream;
 mod sync;
+mod team_quota;
 pub mod view;
 
 use std::io;
@@ -76,6 +77,7 @@
 use self::routing_state::SharedRoutingState;
 use self::settings::NodeSettings;
 use self::store_reader::StoreHealth;
+use self::team_quota::NodeQuotas;
 use self::view::Member;
 
 /// The part of the process's memory, as a divisor, that servers' responses may take up while they
@@ -174,13 +176,14 @@
     let retry_bound = RetryBound { ratio: settings.retry_ratio, extra: settings.retry_extra };
     let store_timeout = Duration::from_millis(settings.store_timeout_ms);
     let clock = Arc::new(SystemClock);
+    let lease_clock = Arc::new(BootClock::new());
     NodeContext {
         response_memory: SharedResponseMemory::new(
             (settings.memory_mb * 1024 * 1024 / RESPONSE_MEMORY_PART) as usize,
         ),
         entry_subset: Mutex::new(EntrySubset::new(clock.now())),
         clock,
-        lease_clock: Arc::new(BootClock::new()),
+        lease_clock: lease_clock.clone(),
         store: StoreClient::new(settings.store.clone(), store_timeout),
         request_pool: Pool::default(),
         order_pool: Pool::default(),
@@ -195,6 +198,7 @@
         crash_archive: Mutex::default(),
         crash_seen: Notify::new(),
         config_age: Mutex::default(),
+        quotas: Mutex::new(NodeQuotas::new(tenure.max(1), lease_clock.now())),
         metrics: NodeMetrics::default(),
         stopping,
         stop_plan: OnceLock::new(),
--- a/savoryport/src/node/peer_server.rs
+++ b/savoryport/src/node/peer_server.rs
@@ -27,6 +27,7 @@
     SyncRequest,
 };
 use super::server_limits::{decide_permit, limits_since, merge_limits};
+use super::team_quota::answer_team_use;
 
 /// How long a report of another node is used.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
@@ -222,6 +223,7 @@
         merge_request_crashes(cx, &req.request_crashes);
         let known_crashes = if req.have.tenure == cx.tenure { req.have.request_crashes } else { 0 };
         let (crashes_revision, request_crashes) = request_crashes_since(cx, known_crashes);
+        let team_use = answer_team_use(cx, &req);
         let mut reply = SyncReply {
             position: SyncPosition::default(),
             is_holder: cx.controllers.leads(&cx.settings.failure_domain)
@@ -236,6 +238,7 @@
             crashes: crash_exchange(cx, Some(their_digest)),
             limits,
             request_crashes,
+            team_use,
         };
         cx.fleet.update(|state| {
             if req.role == Role::Follower {
--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -25,6 +25,7 @@
 use super::response_body::CompleteBody;
 use super::server_selection::SelectedServer;
 use super::stream;
+use super::team_quota::QuotaCharge;
 
 /// A non-idempotent request reuses a pooled connection only if it was in use this recently. If the
 /// server closes an idle connection just as the request is sent, whether the request ran is
@@ -56,6 +57,8 @@
     pub(super) service: Name,
     pub(super) head: RequestHead,
     pub(super) identity: RequestIdentity,
+    /// What the request used of its team's quota, if that has one.
+    pub(super) quota_charge: Option<QuotaCharge>,
     pub(super) prefix_keys: PrefixKeys,
     pub(super) arrived_at: Instant,
     /// Since when some server could have taken the request: its arrival, or when its model was
@@ -313,6 +316,7 @@
         };
         let in_flight = InFlightRequest::begin(self, selected);
         self.attempted_servers.push(server.id.clone());
+        self.set_charged(true);
         let sent_at = self.cx.now();
         let req = self.build_request(selected, resume_after);
         let send = async {
@@ -350,6 +354,7 @@
             }
             Some(Err(err @ SendError::NotConnected { .. })) => {
                 self.attempted_servers.pop();
+                self.set_charged(false);
                 self.on_connect_failure(selected, &err)
             }
             Some(Err(err)) => {
@@ -390,6 +395,15 @@
         }
     }
 
+    /// Sets whether the request keeps what it used of its team's quota when it ends, since a server
+    /// may run it. It does so in any case once one may have run it.
+    pub(super) fn set_charged(&mut self, is_charged: bool) {
+        let is_charged = is_charged || self.may_have_run || self.is_answered;
+        if let Some(charge) = &mut self.quota_charge {
+            charge.set_final(is_charged);
+        }
+    }
+
     fn on_connect_failure(&mut self, selected: &SelectedServer, err: &SendError) -> SendResult {
         log::info!(request = &*self.head.id, err:% = err; "server unreachable");
         self.unreachable_count += 1;
--- a/savoryport/src/node/receive.rs
+++ b/savoryport/src/node/receive.rs
@@ -22,6 +22,7 @@
 use super::context::NodeContext;
 use super::proxy::ProxyRequest;
 use super::response::{Refusal, RefusalCause};
+use super::team_quota::QuotaCharge;
 
 impl ProxyRequest {
     /// Reads the complete request. A request that no server could serve is refused here.
@@ -64,6 +65,10 @@
         let body = read_body(body, &deployment, time_left).await;
         refuse_if_stopping(&cx)?;
         let body = body?;
+        let quota_charge = match &team {
+            Some(team) => QuotaCharge::take(&cx, &deployment, team, head.generation.as_ref())?,
+            None => None,
+        };
         let identity = identify(caller, &parts, &body);
         let mut headers = parts.headers;
         strip_headers(&mut headers);
@@ -81,6 +86,7 @@
             service,
             head,
             identity,
+            quota_charge,
             prefix_keys,
             arrived_at,
             queued_since: arrived_at,
--- a/savoryport/src/node/response.rs
+++ b/savoryport/src/node/response.rs
@@ -33,6 +33,8 @@
     UnknownKey,
     /// Keys may have been withdrawn that this node takes for valid.
     KeysUnconfirmed,
+    /// The team has used up its quota.
+    Quota,
     /// The request headers are malformed.
     BadHead,
     /// The request body exceeds the size limit.
@@ -71,6 +73,7 @@
             Self::NoRoute => "no-route",
             Self::UnknownKey => "unknown-key",
             Self::KeysUnconfirmed => "keys-unconfirmed",
+            Self::Quota => "quota",
             Self::BadHead => "bad-head",
             Self::BodyTooLong => "body-too-long",
             Self::BodyMissing => "body-missing",
@@ -104,6 +107,7 @@
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::Quota => StatusCode::TOO_MANY_REQUESTS,
             // A caller repeats the request after any status that does not blame it.
             Self::BadHead | Self::CrashesServers => StatusCode::BAD_REQUEST,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -13,6 +13,7 @@
 use savoryport_core::node::request::PrefixKeys;
 use savoryport_core::node::request_quarantine::RequestCrashReport;
 use savoryport_core::node::server_limit::{LimitReport, Permit, PermitUse};
+use savoryport_core::node::team_quota::TeamUseReport;
 use serde::{Deserialize, Serialize};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context};
@@ -128,6 +129,9 @@
     pub limits: Vec<LimitReport>,
     /// The crashes, with the requests that were at them, that changed since the last call.
     pub request_crashes: Vec<RequestCrashReport>,
+    /// What its own requests used of teams' quotas; from a leader, those of its whole failure domain.
+    /// `None` where no team has a quota.
+    pub team_use: Option<TeamUseReport>,
 }
 
 /// The nodes that callers may use, and the leaders by failure domain.
@@ -162,6 +166,9 @@
     pub limits: Vec<LimitReport>,
     /// The crashes, with the requests that were at them, that changed.
     pub request_crashes: Vec<RequestCrashReport>,
+    /// What was used of teams' quotas: for a follower by all other nodes, for a leader by the called
+    /// node's failure domain. `None` where no team has a quota.
+    pub team_use: Option<TeamUseReport>,
 }
 
 /// A leader's reply to a request for a model or an adapter.
--- a/savoryport/src/node/server_response.rs
+++ b/savoryport/src/node/server_response.rs
@@ -61,6 +61,7 @@
             expected_ms = selected.expected_latency.as_millis() as u64; "server refused"
         );
         self.excluded_servers.push(selected.server.id.clone());
+        self.set_charged(false);
         self.cx.metrics.not_run.inc();
         self.learn_from_refusal(status, selected);
         if self.cx.response_memory.read(body, DISCARD_TIMEOUT).await.is_some() {
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -9,6 +9,7 @@
 use savoryport_core::Name;
 use savoryport_core::node::request_quarantine::RequestCrashReport;
 use savoryport_core::node::server_limit::LimitReport;
+use savoryport_core::node::team_quota::{Recipient, Reporter, TeamUseReport};
 use tokio::sync::watch;
 
 use super::config_age::confirm_config_of_peer;
@@ -21,6 +22,7 @@
 use super::rpc::{NO_SERVERS_WANTED, PeerError, Role, SyncPosition, SyncReply, SyncRequest};
 use super::server_limits::{limits_since, merge_limits};
 use super::store_reader::{accept_config, expire_servers};
+use super::team_quota::{record_team_use, team_use_report, update_quotas};
 use super::view::{AcceptedConfig, DomainLeader};
 
 /// Timeout for one call to the leader of this failure domain.
@@ -75,6 +77,10 @@
     /// The revision up to which the leader knows this node's crashes with the requests that were at
     /// them.
     sent_request_crashes: u64,
+    /// The revision up to which the leader knows this node's use of teams' quotas.
+    sent_team_use: u64,
+    /// The revision of the leader's totals of that use that this node has.
+    have_team_use: u64,
     /// Since when calls have failed.
     failing_since: Option<Instant>,
     /// Whether the leader counts as lost.
@@ -96,6 +102,7 @@
         if former.tenure != position.tenure {
             self.sent_limits = 0;
             self.sent_request_crashes = 0;
+            self.sent_team_use = 0;
         }
         if applied_servers {
             self.has_servers = true;
@@ -117,6 +124,7 @@
 struct OwnNews {
     limits: Vec<LimitReport>,
     request_crashes: Vec<RequestCrashReport>,
+    team_use: Option<TeamUseReport>,
 }
 
 /// Follows the leader of this node's failure domain. `read_store` tells the store reader whether
@@ -131,6 +139,7 @@
             state.expire_members(cx.now());
             expire_servers(state, cx.now());
         });
+        update_quotas(&cx);
         if cx.now() - cleaned_at >= CLEANUP_PERIOD {
             cleaned_at = cx.now();
             let view = cx.fleet.view();
@@ -186,11 +195,19 @@
     let (revision, limits) = limits_since(cx, following.sent_limits);
     let (crashes_revision, request_crashes) =
         request_crashes_since(cx, following.sent_request_crashes);
-    let news = OwnNews { limits, request_crashes };
+    let have_team_use = following.have_team_use;
+    let team_use =
+        team_use_report(cx, Recipient::OwnLeader, following.sent_team_use, have_team_use);
+    let team_use_revision = team_use.as_ref().map_or(0, |report| report.revision);
+    let news = OwnNews { limits, request_crashes, team_use };
     match call_leader(cx, following, &leader, applies_servers, news).await {
         Ok(reply) => {
             following.sent_limits = revision;
             following.sent_request_crashes = crashes_revision;
+            following.sent_team_use = team_use_revision;
+            following.have_team_use = reply.team_use.as_ref().map_or(0, |report| report.revision);
+            let reporter = Reporter::OwnLeader(leader.vm.clone());
+            record_team_use(cx, &reporter, reply.team_use.as_ref(), asked_at);
             if following.is_lost {
                 log::info!(holder = &*leader.vm; "holder regained");
             }
@@ -256,6 +273,7 @@
         crashes,
         limits: news.limits,
         request_crashes: news.request_crashes,
+        team_use: news.team_use,
     }
 }
 
