Send callers to the nodes of a failure domain by what their VMs can bear

The directory listed a part of the nodes without regard to their VMs, and callers pick an address at random: a node with 0.12 cores behind 10 Mbit/s got as many callers as one with 0.5 cores and 200 Mbit/s. Members now carry their capacity. Nodes with more capacity come first, the part of the nodes has the part of the capacity that it would have of equal nodes, at least six nodes, and a stronger node is listed up to four times, after all others were listed once. A leader counts with three quarters of its capacity. The bound of four keeps strong nodes from taking nearly all callers: by links alone each of two large nodes before 11 small ones would get 39 in 100.

Leaders state the requests in flight in their failure domain, so that the part also grows when callers move in from another one. Failure domains of equal nodes keep their list. The setting weigh_node_capacity turns it off.

--- a/savoryport/src/node/directory.rs
+++ b/savoryport/src/node/directory.rs
@@ -18,7 +18,7 @@
     encode_directory_response,
 };
 use savoryport_core::Name;
-use savoryport_core::node::entry_subset::sort_entries;
+use savoryport_core::node::entry_subset::{EntryNode, EntryScope};
 use tokio::net::TcpListener;
 
 use super::context::NodeContext;
@@ -98,7 +98,7 @@
 
 /// Returns the addresses of nodes in the caller's failure domain; if there are none, of those in its
 /// region; if there are none either, of all nodes. In each case callers are sent to a part of the
-/// nodes. Without `own_address` this node is left out.
+/// nodes, and the address of a stronger node is listed several times. Without `own_address` this node is left out.
 fn nearest_addresses(
     view: &FleetView,
     question: &DirectoryQuery,
@@ -111,13 +111,20 @@
         .filter(|member| own_address.is_some() || member.callers != cx.settings.callers_listen);
     let members: Vec<_> = members.collect();
     let leads = |vm: &Name| view.leaders.values().any(|leader| leader.vm == *vm);
+    let weighs_capacity = cx.settings.weigh_node_capacity;
+    let entry_node = |member: &Member| EntryNode {
+        address: member.callers,
+        vm: member.vm.clone(),
+        leads: leads(&member.vm),
+        capacity: if weighs_capacity { member.capacity } else { cx.member.capacity },
+    };
     let (now, all_nodes) = (cx.now(), view.members.len());
     let addresses_in = |matches: &dyn Fn(&str) -> bool| -> Vec<SocketAddr> {
-        let mut matching: Vec<&&Member> =
-            members.iter().filter(|member| matches(&member.failure_domain)).collect();
-        sort_entries(&mut matching, |member| (leads(&member.vm), member.vm.clone()));
-        let size = cx.entry_subset().size(matching.len(), all_nodes, now);
-        matching.iter().map(|member| member.callers).take(size.min(MAX_ADDRESSES)).collect()
+        let matching = members.iter().filter(|member| matches(&member.failure_domain));
+        let nodes: Vec<_> = matching.map(|member| entry_node(member)).collect();
+        let is_own_domain = matches(&cx.settings.failure_domain);
+        let scope = EntryScope { all_nodes, is_own_domain, max_entries: MAX_ADDRESSES };
+        cx.entry_subset().choose(nodes, scope, now)
     };
     let in_domain = addresses_in(&|domain| domain == question.failure_domain);
     if !in_domain.is_empty() {
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -168,6 +168,7 @@
         vm: settings.vm.clone(),
         failure_domain: settings.failure_domain.clone(),
         callers: settings.callers_listen,
+        capacity: settings.capacity(),
     };
     let start_time = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let tenure = xxh3_64(settings.vm.as_bytes()) ^ start_time.as_nanos() as u64;
--- a/savoryport/src/node/peer_server.rs
+++ b/savoryport/src/node/peer_server.rs
@@ -143,6 +143,14 @@
         reports.flat_map(|report| report.copies.iter().cloned()).collect()
     }
 
+    /// Returns the number of requests in flight at the followers.
+    fn follower_requests(&self, now: Instant) -> u32 {
+        let state = self.lock();
+        let is_fresh = |at: Instant| now.saturating_duration_since(at) < REPORT_LIFETIME;
+        let fresh = state.followers.values().filter(|report| is_fresh(report.received_at));
+        fresh.flat_map(|report| report.loads.values()).map(|load| load.running).sum()
+    }
+
     /// Returns the summed loads of the followers other than `vm` and, if `with_domains` is set, of
     /// the other failure domains.
     pub fn other_loads(&self, vm: Option<&str>, with_domains: bool, now: Instant) -> Loads {
@@ -232,6 +240,7 @@
             members: None,
             config_age_ms: config_age_ms(cx),
             loads: loads.into_iter().collect(),
+            domain_in_flight: domain_in_flight(cx, now),
             prompts,
             crashes: crash_exchange(cx, Some(their_digest)),
             limits,
@@ -294,6 +303,12 @@
     }
 }
 
+/// Returns the number of requests in flight at this node and its followers.
+pub fn domain_in_flight(cx: &NodeContext, now: Instant) -> u32 {
+    let own: u32 = cx.routing.lock().loads.own().values().map(|load| load.running).sum();
+    own.saturating_add(cx.peer_reports.follower_requests(now))
+}
+
 /// Records in the prefix index the prompts that other nodes sent to servers.
 pub fn record_prompts(cx: &NodeContext, prompts: &[PromptRecord], now: Instant) {
     let view = cx.fleet.view();
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -154,6 +154,8 @@
     /// The load on each server: for a follower by all other nodes, for a leader by the called
     /// node's failure domain.
     pub loads: Vec<(Name, ServerLoad)>,
+    /// The number of requests in flight at the nodes of the called node's failure domain.
+    pub domain_in_flight: u32,
     /// Prompts that other nodes sent to servers.
     pub prompts: Vec<PromptRecord>,
     /// The crashes of servers that the called node knows of.
--- a/savoryport/src/node/settings.rs
+++ b/savoryport/src/node/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use savoryport_core::Name;
+use savoryport_core::node::entry_subset::NodeCapacity;
 use savoryport_core::node::selection::SelectionCosts;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -48,6 +49,9 @@
     pub memory_mb: u64,
     /// The bandwidth of the VM's network link, in Mbit/s. Default 1,000.
     pub link_mbps: f64,
+    /// Whether the directory sends callers to the nodes of a failure domain by the capacity of their
+    /// VMs. Otherwise all nodes count as equal. Default true.
+    pub weigh_node_capacity: bool,
     /// The number of file descriptors that the process may use. Default 4,096.
     pub file_descriptors: u64,
     /// The minimum time between the orders of two successive leaders to one server, in
@@ -120,6 +124,7 @@
             cpu_share: 1.0,
             memory_mb: 256,
             link_mbps: 1_000.0,
+            weigh_node_capacity: true,
             file_descriptors: 4_096,
             order_turn_ms: 3_000,
             min_lease_ms: 1_000,
@@ -249,6 +254,12 @@
         problems
     }
 
+    /// Returns what the VM can bear.
+    pub fn capacity(&self) -> NodeCapacity {
+        let Self { cpu_share, link_mbps, memory_mb, .. } = *self;
+        NodeCapacity { cpu_share, link_mbps, memory_mb }
+    }
+
     /// Returns the address for calls of other nodes.
     pub fn peers_listen(&self) -> SocketAddr {
         SocketAddr::new(self.ip_address, self.peers_port)
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -13,7 +13,7 @@
 
 use super::config_age::confirm_config_of_peer;
 use super::context::NodeContext;
-use super::peer_server::record_prompts;
+use super::peer_server::{domain_in_flight, record_prompts};
 use super::quarantine::{crash_exchange, expire_crashes, merge_crashes};
 use super::request_quarantine::{
     expire_request_crashes, merge_request_crashes, request_crashes_since, swap_with_another_domain,
@@ -270,6 +270,7 @@
     let applies_servers = applies_servers && reply.is_holder;
     let known_before = following.known_before.take_if(|_| applies_servers);
     cx.routing.lock().loads.set_other_nodes(reply.loads.iter().cloned().collect());
+    cx.entry_subset().record_domain_in_flight(reply.domain_in_flight as usize, now);
     record_prompts(cx, &reply.prompts, now);
     following.crash_digest = Some(merge_crashes(cx, &reply.crashes));
     merge_limits(cx, &reply.limits);
@@ -326,6 +327,7 @@
     };
     cx.peer_reports.add_own(&cx.settings.vm, &work_ms, &prompts, now);
     let others = cx.peer_reports.other_loads(None, true, now);
+    cx.entry_subset().record_domain_in_flight(domain_in_flight(cx, now) as usize, now);
     let nodes = cx.fleet.view().members.len();
     let mut routing = cx.routing.lock();
     routing.loads.set_other_nodes(others);
--- a/savoryport/src/node/view.rs
+++ b/savoryport/src/node/view.rs
@@ -10,11 +10,12 @@
 use flate2::write::DeflateEncoder;
 use savoryport_core::Name;
 use savoryport_core::node::deployment::Deployment;
+use savoryport_core::node::entry_subset::NodeCapacity;
 use savoryport_core::node::registry::BackendServer;
 use serde::{Deserialize, Serialize};
 
 /// A node that accepts callers' requests.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     /// The name of the node's VM.
     pub vm: Name,
@@ -22,6 +23,8 @@
     pub failure_domain: Name,
     /// The address for callers' requests.
     pub callers: SocketAddr,
+    /// What the VM can bear.
+    pub capacity: NodeCapacity,
 }
 
 /// The leader of a failure domain: the node that may send orders to the servers there.
--- a/savoryport/tests/node_parts.rs
+++ b/savoryport/tests/node_parts.rs
@@ -14,7 +14,9 @@
 use savoryport_core::node::event_sequence::EventNumber;
 
 fn member(vm: &str) -> Member {
-    Member { vm: vm.into(), failure_domain: "east".into(), callers: ([127, 0, 0, 1], 7_100).into() }
+    let capacity = NodeSettings::default().capacity();
+    let callers = ([127, 0, 0, 1], 7_100).into();
+    Member { vm: vm.into(), failure_domain: "east".into(), callers, capacity }
 }
 
 #[test]
