End a planned stop whatever is open, and log what delays it

In a deployment 19 of 20 stopped nodes were killed at 8 s with nothing in their logs after "stopping".

What could wait without a limit, or for longer than needed: - The forwarder of a stream whose caller reads nothing waited until the caller left, also when no stop was under way. The response body now ends as incomplete when its forwarder ends. - A connection without a request, such as one with half a head, held the stop until its last moment (4.4 of 5 s). It is closed 1 s after the node takes no more requests. - The end of the runtime waited for pages that were being made for operators. - A node that was about to campaign for a vacant duty did so although it stops. - A task that blocks keeps all time limits of the single thread from running, those of the stop too. A thread of its own now ends the process, with status 3, when a quarter of the exit margin is left. No test brings that about.

The log names connections, requests and streams that delay the stop, and how late each step is; a late timer shows a VM without processor time.

--- a/savoryport/src/bin/node.rs
+++ b/savoryport/src/bin/node.rs
@@ -46,6 +46,8 @@
         node::run(checked.settings, cancel).await
     });
     savoryport::logging::flush();
+    // Does not wait for pages that are still being made for operators.
+    runtime.shutdown_background();
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => exit_with_error(&err.to_string()),
--- a/savoryport/src/node/callers.rs
+++ b/savoryport/src/node/callers.rs
@@ -2,12 +2,13 @@
 
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use hyper::body::{Bytes, Frame, Incoming, SizeHint};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,8 +18,9 @@
 
 use super::NodeError;
 use super::context::NodeContext;
+use super::open_work::OpenCount;
 use super::proxy;
-use super::response::Body;
+use super::response::{Body, IncompleteResponse};
 
 /// Timeout for receiving a request's headers and for an idle connection, before a configuration is
 /// known.
@@ -37,6 +39,13 @@
 /// connections to servers, nodes and the store.
 const CALLER_DESCRIPTOR_SHARE: f64 = 0.5;
 
+/// How long a connection without a request stays open once the stopping node takes no more. The last
+/// response may still be on its way: 400 kB take 320 ms on a link of 10 Mbit/s.
+const IDLE_CLOSE_TIME: Duration = Duration::from_millis(1_000);
+
+/// The number of checks within that time.
+const IDLE_CLOSE_CHECKS: u32 = 4;
+
 /// Binds a listener to an address.
 ///
 /// # Errors
@@ -49,7 +58,7 @@
 /// Accepts callers' connections until [`NodeContext::connection_shutdown`] is cancelled. A
 /// connection beyond the limit is dropped.
 pub async fn accept(cx: Arc<NodeContext>, listener: TcpListener) {
-    let open_connections = Arc::new(AtomicUsize::new(0));
+    let open_connections = cx.open_work.connections.clone();
     let max_connections = (cx.settings.file_descriptors as f64 * CALLER_DESCRIPTOR_SHARE) as usize;
     loop {
         let accepted = tokio::select! {
@@ -65,12 +74,12 @@
                 continue;
             }
         };
-        open_connections.fetch_add(1, Ordering::Relaxed);
-        let (cx, open_connections) = (cx.clone(), open_connections.clone());
+        let open_connection = OpenCount::new(&open_connections);
+        let cx = cx.clone();
         let caller_tasks = cx.caller_tasks.clone();
         caller_tasks.spawn(async move {
             serve_connection(&cx, stream).await;
-            open_connections.fetch_sub(1, Ordering::Relaxed);
+            drop(open_connection);
         });
     }
 }
@@ -90,7 +99,8 @@
             return;
         }
     };
-    let service = service_fn(|req| respond(cx.clone(), caller, req));
+    let own_requests = Arc::new(AtomicUsize::new(0));
+    let service = service_fn(|req| respond(cx.clone(), caller, own_requests.clone(), req));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
@@ -101,7 +111,10 @@
         result = connection.as_mut() => result,
         () = cx.connection_shutdown.cancelled() => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            match end_connection(connection, &own_requests).await {
+                Some(result) => result,
+                None => return log::debug!(caller:% = caller; "connection without a request closed"),
+            }
         }
     };
     if let Err(err) = result {
@@ -109,12 +122,59 @@
     }
 }
 
+/// Waits for the end of a connection that is being shut down; returns `None` if the caller has sent no
+/// complete request head and read its last response for [`IDLE_CLOSE_TIME`].
+async fn end_connection<T>(
+    mut connection: impl Future<Output = T> + Unpin,
+    own_requests: &AtomicUsize,
+) -> Option<T> {
+    let mut idle_checks = 0;
+    while idle_checks < IDLE_CLOSE_CHECKS {
+        let check_interval = IDLE_CLOSE_TIME / IDLE_CLOSE_CHECKS;
+        if let Ok(result) = tokio::time::timeout(check_interval, &mut connection).await {
+            return Some(result);
+        }
+        let is_idle = own_requests.load(Ordering::Relaxed) == 0;
+        idle_checks = if is_idle { idle_checks + 1 } else { 0 };
+    }
+    None
+}
+
+/// A response body whose request counts as open until it is handed over for writing.
+struct CountedBody {
+    body: Body,
+    _open: (OpenCount, OpenCount),
+}
+
+impl hyper::body::Body for CountedBody {
+    type Data = Bytes;
+    type Error = IncompleteResponse;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteResponse>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 async fn respond(
     cx: Arc<NodeContext>,
     caller: IpAddr,
+    own_requests: Arc<AtomicUsize>,
     req: Request<Incoming>,
-) -> Result<Response<Body>, Infallible> {
-    let mut response = proxy::serve(cx.clone(), caller, req).await;
+) -> Result<Response<CountedBody>, Infallible> {
+    let open = (OpenCount::new(&cx.open_work.requests), OpenCount::new(&own_requests));
+    let response = proxy::serve(cx.clone(), caller, req).await;
+    let mut response = response.map(|body| CountedBody { body, _open: open });
     if cx.stopping.is_cancelled() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -19,6 +19,7 @@
 use super::domain_controller::DomainControllers;
 use super::fleet::Fleet;
 use super::metrics::NodeMetrics;
+use super::open_work::OpenWork;
 use super::peer_connections::PeerConnections;
 use super::peer_server::PeerReports;
 use super::response_body::SharedResponseMemory;
@@ -76,6 +77,8 @@
     pub connection_shutdown: CancellationToken,
     /// The tasks that serve callers' connections and streams.
     pub caller_tasks: TaskTracker,
+    /// What is open for callers.
+    pub open_work: OpenWork,
     /// The memory for servers' responses that are read to their end before they are forwarded.
     pub response_memory: SharedResponseMemory,
     /// The part of the nodes that callers are sent to.
--- a/savoryport/src/node/leadership.rs
+++ b/savoryport/src/node/leadership.rs
@@ -62,7 +62,8 @@
         }
         for domain in campaign.eligible_domains(&cx) {
             tokio::time::sleep(campaign_delay(&cx)).await;
-            if cx.fleet.read(|state| state.leader(&domain).is_some()) {
+            if cx.stopping.is_cancelled() || cx.fleet.read(|state| state.leader(&domain).is_some())
+            {
                 continue;
             }
             campaign.try_acquire(&cx, &domain).await;
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -24,6 +24,7 @@
 mod leadership;
 mod metrics;
 mod model_requests;
+mod open_work;
 mod peer_connections;
 mod peer_server;
 mod planner;
@@ -48,8 +49,9 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -70,6 +72,7 @@
 use self::domain_controller::DomainControllers;
 use self::fleet::Fleet;
 use self::metrics::NodeMetrics;
+use self::open_work::OpenWork;
 use self::peer_connections::PeerConnections;
 use self::peer_server::PeerReports;
 use self::response_body::SharedResponseMemory;
@@ -85,6 +88,12 @@
 /// The number of nodes that are assumed to share the retry budget before any other node is known.
 const ASSUMED_NODES: usize = 16;
 
+/// How long a stopping node waits for callers' requests before it logs what is open.
+const FIRST_DELAY: Duration = Duration::from_millis(1_500);
+
+/// The exit status of a node whose stop had to be forced.
+const EXIT_OVERDUE: i32 = 3;
+
 /// An error that keeps a node from starting.
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -145,22 +154,62 @@
     let (within, now) = (Duration::from_secs_f64(cx.settings.stop_within_s), cx.now());
     let plan = *cx.stop_plan.get_or_init(|| StopPlan::new(now, within));
     log::info!(within_ms = (plan.close_by - now).as_millis() as u64; "stopping");
+    let _guard = StopGuard::start(plan.exit_by - now);
+    let late_ms = |planned: Instant| cx.now().saturating_duration_since(planned).as_millis() as u64;
     let drain = async {
         tokio::time::sleep(plan.refuse_from - now).await;
         cx.connection_shutdown.cancel();
         cx.caller_tasks.close();
+        let first_wait = (plan.answer_by.saturating_duration_since(cx.now())).min(FIRST_DELAY);
+        if tokio::time::timeout(first_wait, cx.caller_tasks.wait()).await.is_err() {
+            cx.open_work.log_delay("wait for requests", late_ms(plan.refuse_from + FIRST_DELAY));
+        }
         let until_answers = plan.answer_by.saturating_duration_since(cx.now());
         if tokio::time::timeout(until_answers, cx.caller_tasks.wait()).await.is_err() {
+            cx.open_work.log_delay("end requests", late_ms(plan.answer_by));
             log::warn!(open = cx.caller_tasks.len(); "requests end because the node stops");
             cx.answer_now.cancel();
             cx.caller_tasks.wait().await;
         }
     };
     if tokio::time::timeout(plan.close_by - now, drain).await.is_err() {
+        cx.open_work.log_delay("close connections", late_ms(plan.close_by));
         log::warn!(open = cx.caller_tasks.len(); "stopped before everything was answered");
     }
-    let _ = tokio::time::timeout(StopPlan::exit_margin(within) / 2, leadership_task).await;
-    log::info!("stopped");
+    let release_timeout = StopPlan::exit_margin(within) / 2;
+    if tokio::time::timeout(release_timeout, leadership_task).await.is_err() {
+        log::warn!(timeout_ms = release_timeout.as_millis() as u64; "duties not given up in time");
+    }
+    log::info!(took_ms = (cx.now() - now).as_millis() as u64; "stopped");
+}
+
+/// Ends the process if the node has not stopped in time, from a thread of its own: a task that blocks
+/// keeps the time limits of all others from running.
+struct StopGuard(Arc<AtomicBool>);
+
+impl StopGuard {
+    fn start(within: Duration) -> Self {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let guard = Self(is_stopped.clone());
+        let watch = move || {
+            std::thread::sleep(within);
+            if !is_stopped.load(Ordering::Acquire) {
+                log::error!("tasks do not run, stop forced");
+                crate::logging::flush();
+                std::process::exit(EXIT_OVERDUE);
+            }
+        };
+        if let Err(err) = std::thread::Builder::new().name("stop-guard".to_owned()).spawn(watch) {
+            log::warn!(err:% = err; "stop is not guarded");
+        }
+        guard
+    }
+}
+
+impl Drop for StopGuard {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Release);
+    }
 }
 
 fn new_context(settings: NodeSettings, stopping: CancellationToken) -> NodeContext {
@@ -202,6 +251,7 @@
         answer_now: CancellationToken::new(),
         connection_shutdown: CancellationToken::new(),
         caller_tasks: TaskTracker::new(),
+        open_work: OpenWork::default(),
         rng: Mutex::new(SmallRng::seed_from_u64(tenure)),
         settings,
     }
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -1,5 +1,7 @@
 //! Forwards a server's stream to the caller, and resumes it at another server if it is interrupted.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -14,6 +16,7 @@
 
 use super::event_relay::{EventRelay, Relayed};
 use super::event_splitter::EventBoundary;
+use super::open_work::OpenCount;
 use super::proxy::{OpenedResponse, ProxyRequest};
 use super::response::{Body, IncompleteResponse};
 use super::server_selection::SelectedServer;
@@ -56,6 +59,8 @@
 struct StreamForwarder {
     request: ProxyRequest,
     chunks: mpsc::Sender<Result<Frame<Bytes>, IncompleteResponse>>,
+    /// Whether the caller has been sent the whole response.
+    is_complete: Arc<AtomicBool>,
     /// The events of a resumable stream.
     relay: EventRelay,
     /// Where the last event of a stream ends that is forwarded as it arrives, since it cannot be
@@ -77,7 +82,9 @@
     let mut headers = opened.headers.clone();
     strip_connection_headers(&mut headers);
     headers.remove(CONTENT_LENGTH);
-    let mut response = Response::new(BodyExt::boxed(StreamBody::new(chunk_stream(receiver))));
+    let is_complete = Arc::new(AtomicBool::new(false));
+    let body = StreamBody::new(chunk_stream(receiver, is_complete.clone()));
+    let mut response = Response::new(BodyExt::boxed(body));
     *response.status_mut() = opened.status;
     *response.headers_mut() = headers;
     let forwarder = StreamForwarder {
@@ -86,18 +93,31 @@
         is_answering: false,
         boundary: EventBoundary::default(),
         chunks,
+        is_complete,
         request,
     };
-    let caller_tasks = forwarder.request.cx.caller_tasks.clone();
-    caller_tasks.spawn(forwarder.run(opened, selected));
+    let cx = forwarder.request.cx.clone();
+    let open_stream = OpenCount::new(&cx.open_work.streams);
+    cx.caller_tasks.spawn(async move {
+        forwarder.run(opened, selected).await;
+        drop(open_stream);
+    });
     response
 }
 
+/// Returns the chunks of a response body. Unless `is_complete` is set, the body ends as incomplete
+/// when the forwarder ends, which therefore never has to wait for a caller that reads nothing.
 fn chunk_stream(
     receiver: mpsc::Receiver<Result<Frame<Bytes>, IncompleteResponse>>,
+    is_complete: Arc<AtomicBool>,
 ) -> impl futures::Stream<Item = Result<Frame<Bytes>, IncompleteResponse>> {
-    futures::stream::unfold(receiver, async |mut receiver| {
-        receiver.recv().await.map(|chunk| (chunk, receiver))
+    futures::stream::unfold(Some((receiver, is_complete)), async |state| {
+        let (mut receiver, is_complete) = state?;
+        match receiver.recv().await {
+            Some(chunk) => Some((chunk, Some((receiver, is_complete)))),
+            None if is_complete.load(Ordering::Acquire) => None,
+            None => Some((Err(IncompleteResponse), None)),
+        }
     })
 }
 
@@ -111,6 +131,7 @@
             let status = opened.status.as_u16();
             match end {
                 StreamEnd::Completed => {
+                    self.is_complete.store(true, Ordering::Release);
                     self.request.record_completion();
                     let OpenedResponse { connection, headers, in_flight, .. } = opened;
                     drop(in_flight);
@@ -123,7 +144,7 @@
                     return self.request.log_end("streamed", status, None);
                 }
                 StreamEnd::CallerLeft => return self.request.log_end("caller-left", status, None),
-                StreamEnd::TimedOut => return self.abort("timed-out", status).await,
+                StreamEnd::TimedOut => return self.request.log_end("timed-out", status, None),
                 StreamEnd::Switched(next) => {
                     drop(opened);
                     self.request.record_outcome(&selected.server.id, ServerOutcome::Unreachable);
@@ -145,17 +166,11 @@
                 Some((next_opened, next_selected)) => {
                     (opened, selected) = (next_opened, next_selected)
                 }
-                None => return self.abort("broken-off", status).await,
+                None => return self.request.log_end("broken-off", status, None),
             }
         }
     }
 
-    /// Ends the caller's response as incomplete.
-    async fn abort(&mut self, outcome: &str, status: u16) {
-        let _ = self.chunks.send(Err(IncompleteResponse)).await;
-        self.request.log_end(outcome, status, None);
-    }
-
     /// Resumes the stream at another server, if the request allows that.
     async fn resume(&mut self) -> Option<(OpenedResponse, SelectedServer)> {
         if !self.may_resume() {
--- a/savoryport/tests/node_planned_stop.rs
+++ b/savoryport/tests/node_planned_stop.rs
@@ -9,6 +9,7 @@
 
 use node_site::{NodeSite, RequestKind, SiteNode, post};
 use rustix::process::Signal;
+use savoryport_standin::backend::BackendFault;
 use savoryport_standin::raw_engine::{RawEngine, RawEngineFault};
 
 /// How long the nodes of a site may take to stop.
@@ -155,3 +156,57 @@
         assert!(is_served || response.status == 503, "{response:?}");
     });
 }
+
+/// Opens ten connections for each of these beginnings of a request.
+fn open_connections(node: &SiteNode, sent: &[&str]) -> Vec<TcpStream> {
+    let connections = sent.iter().flat_map(|sent| std::iter::repeat_n(sent, 10)).map(|sent| {
+        let mut caller = TcpStream::connect(&node.callers).expect("it connects");
+        caller.write_all(sent.as_bytes()).expect("it is sent");
+        caller
+    });
+    connections.collect()
+}
+
+/// Stops a node; returns how long that took, and its log.
+fn stop(node: &mut SiteNode) -> (Duration, String) {
+    node.signal(Signal::TERM);
+    let began = Instant::now();
+    let status = node.wait_for_exit();
+    let took = began.elapsed();
+    assert!(status.is_some_and(|status| status.success()));
+    (took, node.log_lines.lock().expect("no thread panics").join("\n"))
+}
+
+/// Guards against a stop that waits without a limit for a caller or the store, and against one whose
+/// delay the log does not explain: a leader whose store is silent, with callers that read no stream.
+#[test]
+fn a_leader_with_unread_streams_and_a_silent_store_stops_in_time() {
+    let (mut site, _servers) = start();
+    for server in &site.servers {
+        server.set_fault(BackendFault::EndlessEvent);
+    }
+    let unread = "POST /draft-once/unread HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: unread\r\n\
+                  X-Deadline-Ms: 4000\r\nX-Model: m0\r\nX-Token-Counts: 100,8\r\n\
+                  X-Prompt-Prefix: 5c1e07a2:60\r\nContent-Length: 0\r\n\r\n";
+    let half_body = head("half", "commit", 3);
+    let _open = open_connections(&site.nodes[0], &[&half_body, unread]);
+    std::thread::sleep(ms(500));
+    site.nodes[0].store_proxy.set_faults(|faults| faults.pause = true);
+    let (took, log) = stop(&mut site.nodes[0]);
+    assert!(took < STOP_TIME, "{took:?}");
+    assert!(log.contains("stop waits for callers") && log.contains("\"stopped\""), "{log}");
+}
+
+/// Guards against a stop that takes all of its time because callers hold connections on which no
+/// request is in progress.
+#[test]
+fn connections_without_a_request_do_not_delay_the_stop() {
+    let (mut site, _servers) = start();
+    let served = format!("{}pay", head("kept", "commit", 3));
+    let half_head = &served[..40];
+    let _open = open_connections(&site.nodes[0], &["", &served, half_head]);
+    std::thread::sleep(ms(200));
+    let (took, log) = stop(&mut site.nodes[0]);
+    assert!(took < ms(4_000), "{took:?}");
+    assert!(!log.contains("requests end because the node stops"), "{log}");
+}
--- a/savoryport_core/src/node/stop_plan.rs
+++ b/savoryport_core/src/node/stop_plan.rs
@@ -32,6 +32,8 @@
     pub answer_by: Instant,
     /// By then, the answers are written.
     pub close_by: Instant,
+    /// By then, the process has ended, also if a task keeps the others from running.
+    pub exit_by: Instant,
 }
 
 impl StopPlan {
@@ -43,6 +45,7 @@
             refuse_from: began + STALE_ADDRESS_PERIOD.min(close_after / 2),
             answer_by: began + answer_after,
             close_by: began + close_after,
+            exit_by: began + within - Self::exit_margin(within) / 4,
         }
     }
 
