Count how much more a server fails than the best of its service

When all servers of a service failed part of their requests, the cost of failures drove requests from equally bad servers to slow ones, whose running average was lower for lack of requests. The rate that the selection sees is now relative to the best observed server of the service. It counts the more, the more servers of the service are observed, so that servers without outcomes are still tried; what chance explains does not count; and where all fail, a server's excess fades with 2 s while it gets no requests. Where the best one fails nothing, nothing changes. The status page shows both rates.

Nodes do not share outcomes, so a node with few requests observes a large service slowly.

--- a/savoryport/src/node/status.rs
+++ b/savoryport/src/node/status.rs
@@ -32,7 +32,8 @@
                 "failure_domain": server.failure_domain, "ready": server.is_ready(),
                 "models": models, "requests": load.running,
                 "prefill_ms": load.prefill_ms.iter().sum::<f32>(),
-                "failure_rate": routing.health.failure_rate(&server.id),
+                "failure_rate": routing.health.absolute_failure_rate(&server.id),
+                "relative_failure_rate": routing.health.failure_rate(&server.id),
                 "slowness": routing.speeds.slowness(&server.id),
                 "limit_per_s": routing.limits.limit_of(server).map(RequestRate::per_second),
             })
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -134,7 +134,13 @@
         if cx.now() - cleaned_at >= CLEANUP_PERIOD {
             cleaned_at = cx.now();
             let view = cx.fleet.view();
-            cx.routing.lock().retain_servers(|server| view.servers.contains_key(server));
+            let services = view.servers.values();
+            let services =
+                services.map(|server| (server.id.clone(), server.service.clone())).collect();
+            let mut routing = cx.routing.lock();
+            routing.retain_servers(|server| view.servers.contains_key(server));
+            routing.health.set_services(services, cx.now());
+            drop(routing);
             expire_crashes(&cx);
             expire_request_crashes(&cx);
         }
