Weigh whether a server still holds a cached prefix, and what its memory costs

A recorded prefix counted as cached until kvCacheTokens tokens of other prompts were recorded. Running requests share that memory, records of other nodes may be missing, and a request that does not fit waits or has others preempted.

Load reports now carry the tokens in use by rank. prefix_value estimates from them, from the tokens recorded since the last use, from the age and from failed connections how much of a prefix is still held, the wait for memory, the reading of preempted requests and what a new copy displaces. Two metrics tell the expected saving and, where the first token shows it, whether the prefix was there. weigh_prefix_retention (default true) turns it off; each record then counts as cached as before.

Not measured on a deployment yet.

--- a/savoryport/src/node/in_flight.rs
+++ b/savoryport/src/node/in_flight.rs
@@ -17,6 +17,9 @@
     server: Name,
     rank: u8,
     prefill_ms: f32,
+    /// The time that the cached prefix was expected to save.
+    saving: Duration,
+    memory_tokens: u32,
     /// The expected time to the first token when the request was sent.
     expected_latency: Duration,
     model: Option<Name>,
@@ -38,6 +41,7 @@
         let cache_tokens = request.engine_class().map(|class| class.cache_tokens);
         let mut routing = cx.routing.lock();
         routing.loads.start_request(&server.id, request.route.rank, selected.prefill_ms);
+        routing.loads.hold_tokens(&server.id, request.route.rank, selected.memory_tokens);
         if let Some(key) = &copy_key {
             *routing.requests_by_copy.entry(key.clone()).or_default() += 1;
         }
@@ -54,6 +58,8 @@
             server: server.id.clone(),
             rank: request.route.rank,
             prefill_ms: selected.prefill_ms,
+            saving: Duration::from_secs_f32(selected.saving_ms.max(0.0) / 1e3),
+            memory_tokens: selected.memory_tokens,
             expected_latency: selected.expected_latency,
             model: generation.map(|generation| generation.model.clone()),
             copy_key,
@@ -86,15 +92,22 @@
             let expected_ms = self.expected_latency.as_secs_f64() * 1e3;
             routing.speeds.record_first_token(&self.server, model, expected_ms, elapsed);
         }
+        drop(routing);
+        self.cx.metrics.record_prefix(self.expected_latency, self.saving, elapsed);
     }
 }
 
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
+        let elapsed = self.cx.now() - self.sent_at;
         let mut routing = self.cx.routing.lock();
+        if self.memory_tokens > 0 {
+            routing.prefixes.record_request_end(self.memory_tokens, elapsed);
+        }
         if !self.has_first_token {
             routing.loads.record_first_token(&self.server, self.rank, self.prefill_ms);
         }
+        routing.loads.release_tokens(&self.server, self.rank, self.memory_tokens);
         routing.loads.end_request(&self.server);
         if let Some(key) = &self.copy_key
             && let Some(requests) = routing.requests_by_copy.get_mut(key)
--- a/savoryport/src/node/metrics.rs
+++ b/savoryport/src/node/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::registry::Registry;
 use savoryport_core::node::deployment::Route;
 use savoryport_core::node::orders::OrderAnswer;
+use savoryport_core::node::prefix_value::{PrefixOutcome, judge_prefix};
 
 use super::response::RefusalCause;
 
@@ -45,6 +46,13 @@
     pub answer: &'static str,
 }
 
+/// Labels of a request for which a cached prefix was expected.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PrefixLabels {
+    /// Whether the server held it, judging by the time to the first token.
+    pub outcome: &'static str,
+}
+
 /// The metrics of a node.
 #[derive(Clone)]
 pub struct NodeMetrics {
@@ -84,6 +92,10 @@
     pub model_moves: Counter,
     /// Reports received from engines.
     pub engine_reports: Counter,
+    /// Prefill time that cached prefixes were expected to save, in milliseconds.
+    pub prefix_saving_ms: Counter,
+    /// Requests with a considerable expected saving.
+    pub prefixes: Family<PrefixLabels, Counter>,
     /// Calls to the store.
     pub store_calls: Counter,
     /// Calls to the store that failed.
@@ -115,6 +127,8 @@
             orders: Family::default(),
             model_moves: Counter::default(),
             engine_reports: Counter::default(),
+            prefix_saving_ms: Counter::default(),
+            prefixes: Family::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
         }
@@ -147,6 +161,18 @@
         self.orders.get_or_create(&OrderLabels { order, answer }).inc();
     }
 
+    /// Counts the expected saving of a request with a first token, and whether the server seems to
+    /// have held the prefix.
+    pub fn record_prefix(&self, expected: Duration, saving: Duration, took: Duration) {
+        self.prefix_saving_ms.inc_by(saving.as_millis() as u64);
+        let outcome = match judge_prefix(expected, saving, took) {
+            Some(PrefixOutcome::Found) => "found",
+            Some(PrefixOutcome::Missed) => "missed",
+            None => return,
+        };
+        self.prefixes.get_or_create(&PrefixLabels { outcome }).inc();
+    }
+
     /// Returns a registry with all metrics.
     pub fn registry(&self) -> Registry {
         let mut registry = Registry::with_prefix("savoryport");
@@ -220,6 +246,16 @@
             "Reports read from engines",
             self.engine_reports.clone(),
         );
+        registry.register(
+            "prefix_saving_ms",
+            "Prefill time that cached prefixes were expected to save",
+            self.prefix_saving_ms.clone(),
+        );
+        registry.register(
+            "prefixes",
+            "Requests with an expected cached prefix, by what the first token shows",
+            self.prefixes.clone(),
+        );
         registry.register("store_calls", "Calls of the store", self.store_calls.clone());
         registry.register(
             "store_failures",
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -185,7 +185,12 @@
         request_pool: Pool::default(),
         order_pool: Pool::default(),
         fleet: Fleet::new(member.clone()),
-        routing: SharedRoutingState::new(retry_bound, ASSUMED_NODES, settings.selection_costs()),
+        routing: SharedRoutingState::new(
+            retry_bound,
+            ASSUMED_NODES,
+            settings.selection_costs(),
+            settings.prefix_index(),
+        ),
         peer_reports: PeerReports::default(),
         store_health: StoreHealth::default(),
         tenure: tenure.max(1),
--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -479,7 +479,11 @@
 
     pub(super) fn record_outcome(&self, server: &Name, outcome: ServerOutcome) {
         let now = self.cx.now();
-        self.cx.routing.lock().health.record_outcome(server, outcome, now);
+        let mut routing = self.cx.routing.lock();
+        routing.health.record_outcome(server, outcome, now);
+        if outcome == ServerOutcome::Unreachable {
+            routing.prefixes.record_unreachable(server, now);
+        }
     }
 }
 
--- a/savoryport/src/node/routing_state.rs
+++ b/savoryport/src/node/routing_state.rs
@@ -63,10 +63,15 @@
 
 impl SharedRoutingState {
     /// Creates an empty state; `nodes` nodes share the retry bound.
-    pub fn new(bound: RetryBound, nodes: usize, selection_costs: SelectionCosts) -> Self {
+    pub fn new(
+        bound: RetryBound,
+        nodes: usize,
+        selection_costs: SelectionCosts,
+        prefixes: PrefixCacheIndex,
+    ) -> Self {
         Self(Mutex::new(RoutingState {
             loads: LoadTracker::default(),
-            prefixes: PrefixCacheIndex::default(),
+            prefixes,
             health: HealthTracker::default(),
             quarantine: Quarantine::default(),
             request_quarantine: RequestQuarantine::default(),
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -43,6 +43,10 @@
     pub priority: Option<u8>,
     /// The prefill time that the request needs on this server, in milliseconds.
     pub prefill_ms: f32,
+    /// The time that the cached prefix is expected to save on this server, in milliseconds.
+    pub saving_ms: f32,
+    /// The tokens of KV cache memory that the request holds besides the cached prefix.
+    pub memory_tokens: u32,
     /// The server from which the cached prefix of the prompt is copied first.
     pub copy_from: Option<SocketAddr>,
     /// The expected time to the first token, or to the response of a server that is not an engine.
@@ -183,6 +187,10 @@
             service: &self.service,
             rank: self.route.rank,
             copy_ms_per_token: self.engine_class().and_then(|class| class.copy_ms_per_token),
+            cache_tokens: self
+                .engine_class()
+                .filter(|_| self.cx.settings.weigh_prefix_retention)
+                .map(|class| class.cache_tokens),
         }
     }
 
@@ -365,6 +373,8 @@
             server,
             priority: self.head.generation.as_ref().map(|_| priority),
             prefill_ms: choice.prefill_ms,
+            saving_ms: choice.saving_ms,
+            memory_tokens: choice.memory_tokens,
             copy_from: choice.copy_from.map(|source| source.address),
             expected_latency: choice.expected_latency,
             permit: permit(self.longest_wait(&input)),
--- a/savoryport/src/node/settings.rs
+++ b/savoryport/src/node/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use savoryport_core::Name;
+use savoryport_core::node::prefix::PrefixCacheIndex;
 use savoryport_core::node::selection::SelectionCosts;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -97,6 +98,10 @@
     /// milliseconds. A node that may not have heard of it refuses requests with keys. 0 or absent
     /// turns this off. Default 0.
     pub key_withdrawal_ms: u64,
+    /// Whether the selection of a server weighs the probability that it still holds a cached prefix of
+    /// the prompt, the wait for memory and what the request displaces. Otherwise each recorded prefix
+    /// counts as cached. Default true.
+    pub weigh_prefix_retention: bool,
     /// The log level: `error`, `warn`, `info` or `debug`. Default `info`.
     pub log_level: String,
 }
@@ -139,6 +144,7 @@
             other_region_ms: 90.0,
             new_connection_ms: 8.0,
             key_withdrawal_ms: 0,
+            weigh_prefix_retention: true,
             log_level: "info".to_owned(),
         }
     }
@@ -271,6 +277,15 @@
         Duration::from_millis((self.min_lease_ms * 2).max(1_000))
     }
 
+    /// Returns an empty index of the prefixes that servers have cached.
+    pub fn prefix_index(&self) -> PrefixCacheIndex {
+        if self.weigh_prefix_retention {
+            PrefixCacheIndex::weighing()
+        } else {
+            PrefixCacheIndex::default()
+        }
+    }
+
     /// Returns the costs of distance and of missing adapters in the selection of a server.
     pub fn selection_costs(&self) -> SelectionCosts {
         SelectionCosts {
--- a/savoryport_core/src/node/load.rs
+++ b/savoryport_core/src/node/load.rs
@@ -24,6 +24,8 @@
     pub prefill_ms: [f32; RANKS],
     /// The number of requests in flight, with or without a first token.
     pub running: u32,
+    /// The tokens of KV cache memory that these requests hold besides cached prefixes, by rank.
+    pub tokens: [u32; RANKS],
 }
 
 impl ServerLoad {
@@ -38,6 +40,9 @@
             *sum += ms;
         }
         self.running += other.running;
+        for (sum, tokens) in self.tokens.iter_mut().zip(other.tokens) {
+            *sum = sum.saturating_add(tokens);
+        }
     }
 
     /// Returns the prefill time that a request of this rank waits for, in milliseconds. A prefill
@@ -72,6 +77,22 @@
         }
     }
 
+    /// Counts the memory of a started request, in tokens of KV cache.
+    pub fn hold_tokens(&mut self, server: &str, rank: u8, tokens: u32) {
+        if let Some(load) = self.own.get_mut(server) {
+            let held = &mut load.tokens[rank_index(rank)];
+            *held = held.saturating_add(tokens);
+        }
+    }
+
+    /// Records that a request gives its memory back, before its end is recorded.
+    pub fn release_tokens(&mut self, server: &str, rank: u8, tokens: u32) {
+        if let Some(load) = self.own.get_mut(server) {
+            let held = &mut load.tokens[rank_index(rank)];
+            *held = held.saturating_sub(tokens);
+        }
+    }
+
     /// Records the end of a request.
     pub fn end_request(&mut self, server: &str) {
         if let Some(load) = self.own.get_mut(server) {
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -17,6 +17,7 @@
 pub mod orders;
 pub mod placement;
 pub mod prefix;
+pub mod prefix_value;
 pub mod quarantine;
 pub mod registry;
 pub mod request;
--- a/savoryport_core/src/node/selection.rs
+++ b/savoryport_core/src/node/selection.rs
@@ -9,8 +9,11 @@
 
 use crate::Name;
 use crate::node::health::HealthTracker;
-use crate::node::load::LoadTracker;
+use crate::node::load::{LoadTracker, ServerLoad};
 use crate::node::prefix::PrefixCacheIndex;
+use crate::node::prefix_value::{
+    PrefixRequest, PrefixValue, ServerMemory, memory_tokens, weigh_prefix,
+};
 use crate::node::registry::BackendServer;
 use crate::node::request::{Generation, PrefixKeys};
 
@@ -213,6 +216,9 @@
     /// The time to copy one cached token from another server, in milliseconds; `None` if
     /// the engines cannot copy.
     pub copy_ms_per_token: Option<f64>,
+    /// The capacity of the KV cache of each server in tokens, where the retention of prefixes is
+    /// weighed; `None` if each recorded prefix counts as cached.
+    pub cache_tokens: Option<u64>,
 }
 
 /// A server that may be chosen for the request.
@@ -240,6 +246,12 @@
     pub copy_from: Option<&'a BackendServer>,
     /// The expected time to the first token, or to the response of a service without model engines.
     pub expected_latency: Duration,
+    /// The time that the cached prefix is expected to save at the server, in milliseconds.
+    pub saving_ms: f32,
+    /// The tokens of KV cache memory that the request holds besides the cached prefix.
+    pub memory_tokens: u32,
+    /// What the prefix is worth at the server, and what its memory costs.
+    pub prefix: PrefixValue,
     /// The expected time with all costs added, by which candidates are compared, in milliseconds.
     pub cost_ms: f64,
 }
@@ -262,9 +274,10 @@
     let load = cx.loads.total(&server.id);
     let slowness = cx.speeds.slowness(&server.id);
     let mut copy_from = None;
+    let prefix = prefix_value(server, &load, request, cx);
     let (service_ms, wait_ms) = match request.generation {
         Some(generation) => {
-            let cached = cx.prefixes.cached_tokens(&server.id, server.incarnation, request.keys);
+            let cached = prefix.held_tokens;
             let prefill = |cached| {
                 let uncached = generation.prompt_tokens.saturating_sub(cached);
                 cx.speeds.prefill_ms(&generation.model, uncached)
@@ -283,7 +296,8 @@
                 prefill_ms,
                 ahead_ms
                     + MS_PER_RUNNING_REQUEST * f64::from(load.running)
-                    + slot_wait_ms(server, load.running),
+                    + slot_wait_ms(server, load.running)
+                    + prefix.memory_wait_ms,
             )
         }
         None => {
@@ -307,10 +321,69 @@
         prefill_ms: (service_ms * slowness) as f32,
         copy_from,
         expected_latency: Duration::from_secs_f64(total_ms / 1e3),
-        cost_ms: total_ms + failures_ms + batch_ms + connection_ms,
+        saving_ms: saving_ms(request, &prefix, slowness, cx),
+        memory_tokens: request
+            .generation
+            .map_or(0, |generation| memory_tokens(generation, prefix.held_tokens)),
+        prefix,
+        cost_ms: total_ms
+            + failures_ms
+            + batch_ms
+            + connection_ms
+            + prefix.preemption_ms
+            + prefix.displaced_ms,
     }
 }
 
+/// Returns what the prefix is worth at a server. Where its retention is not weighed, all that was
+/// recorded counts as held, and memory costs nothing.
+fn prefix_value(
+    server: &BackendServer,
+    load: &ServerLoad,
+    request: &SelectionRequest<'_>,
+    cx: &SelectionContext<'_>,
+) -> PrefixValue {
+    let (Some(generation), Some(cache_tokens)) = (request.generation, request.cache_tokens) else {
+        let recorded = cx.prefixes.cached_tokens(&server.id, server.incarnation, request.keys);
+        return PrefixValue {
+            recorded_tokens: recorded,
+            held_tokens: recorded,
+            ..PrefixValue::default()
+        };
+    };
+    let request =
+        PrefixRequest { generation, keys: request.keys, rank: request.rank, cache_tokens };
+    weigh_prefix(server, load, &request, cx.prefixes, cx.speeds, cx.now)
+}
+
+/// Returns how many of the prompt's first tokens the server is expected to have cached.
+fn held_tokens(
+    server: &BackendServer,
+    request: &SelectionRequest<'_>,
+    cx: &SelectionContext<'_>,
+) -> u32 {
+    let Some(capacity) = request.cache_tokens else {
+        return cx.prefixes.cached_tokens(&server.id, server.incarnation, request.keys);
+    };
+    let in_use = cx.loads.total(&server.id);
+    let memory = ServerMemory { capacity, in_use, request_time: cx.prefixes.request_time() };
+    let uses = cx.prefixes.part_uses(&server.id, server.incarnation, request.keys, cx.now);
+    memory.held_tokens(&uses)
+}
+
+/// Returns the time that the held prefix saves at a server, in milliseconds.
+fn saving_ms(
+    request: &SelectionRequest<'_>,
+    prefix: &PrefixValue,
+    slowness: f64,
+    cx: &SelectionContext<'_>,
+) -> f32 {
+    request.generation.map_or(0.0, |generation| {
+        let saved = prefix.held_tokens.min(generation.prompt_tokens);
+        (cx.speeds.prefill_ms(&generation.model, saved) * slowness) as f32
+    })
+}
+
 /// Returns the candidate with the least cost; paused ones come after all others.
 pub fn choose_server<'a>(
     candidates: impl Iterator<Item = Candidate<'a>> + Clone,
@@ -338,7 +411,7 @@
         .filter(|candidate| candidate.adapter_orders == 0)
         .map(|Candidate { server, .. }| LongestCachedPrefix {
             server,
-            tokens: cx.prefixes.cached_tokens(&server.id, server.incarnation, request.keys),
+            tokens: held_tokens(server, request, cx),
         })
         .max_by_key(|prefix| prefix.tokens)
 }
--- a/savoryport_core/tests/node_decisions.rs
+++ b/savoryport_core/tests/node_decisions.rs
@@ -81,6 +81,7 @@
             service: "drafts",
             rank: 0,
             copy_ms_per_token: self.copy_ms_per_token,
+            cache_tokens: None,
         };
         let chosen = choose_server(candidates.iter().copied(), &request, &cx);
         let chosen = chosen.expect("there are candidates");
@@ -110,7 +111,7 @@
 fn load_from_other_nodes_counts_like_own_load() {
     let (a, b) = (server("a", "east", &["m"]), server("b", "east", &["m"]));
     let (mut selection, now) = (SelectionState::default(), Instant::now());
-    let busy = ServerLoad { prefill_ms: [900.0, 0.0, 0.0], running: 5 };
+    let busy = ServerLoad { prefill_ms: [900.0, 0.0, 0.0], running: 5, ..ServerLoad::default() };
     selection.loads.set_other_nodes(HashMap::from([("a".into(), busy)]));
     assert_eq!(
         &*selection.choose(&[same_domain(&a), same_domain(&b)], &long_prompt("m"), now),
@@ -832,7 +833,7 @@
     let unconnected = Candidate { is_connected: false, ..same_domain(&a) };
     let short = Generation { prompt_tokens: 60, output_tokens: 10, ..long_prompt("m") };
     assert_eq!(&*selection.choose(&[unconnected, same_domain(&b)], &short, now), "b");
-    let waiting = ServerLoad { prefill_ms: [40.0, 0.0, 0.0], running: 4 };
+    let waiting = ServerLoad { prefill_ms: [40.0, 0.0, 0.0], running: 4, ..ServerLoad::default() };
     selection.loads.set_other_nodes(HashMap::from([("b".into(), waiting)]));
     assert_eq!(&*selection.choose(&[unconnected, same_domain(&b)], &short, now), "a");
 }
