Explain where a described request would go, without sending it

Operators could see loads and failure rates on the status page, but not why a node chooses one server rather than another, or refuses a request.

savoryport explain-route asks a node's status listener for the decision of its own code on a described request: the candidates with their expected time, its parts and the age of the inputs, the other servers with the reason why they are no candidates, and the server, the wait or the refusal with the time to return. The filter of candidates now returns its reasons, which the command prints. In the weighing index, late reports of prompts that were sent before a restart no longer replace the records since it.

--- a/savoryport/src/cli/arguments.rs
+++ b/savoryport/src/cli/arguments.rs
@@ -6,6 +6,7 @@
 use lexopt::prelude::*;
 use savoryport_platform::kv::EtcdClient;
 
+use super::explain_route::DescribedRequest;
 use crate::settings::Settings;
 
 /// The text that `--help` prints.
@@ -26,6 +27,10 @@
   quarantine clear IP:PORT ID
                            serve a request, or those with a part, again
 
+  explain-route IP:PORT HOST PATH
+                           show where a node would send a request now, and why, without
+                           sending it; IP:PORT is the metrics address of a savoryport-node
+
 Options:
   --settings FILE.json     take the platform's addresses from the daemons' settings
   --key-value IP:PORT      the key-value service
@@ -34,6 +39,11 @@
   --first                  apply: there is no table yet
   --no-fleet-check         apply: do not check the table against the fleet's memory
   --undo                   drain: end the drain
+  --model MODEL[/ADAPTER]  explain-route: the model
+  --token-counts P,O       explain-route: tokens of the prompt, and to generate at most
+  --prompt-parts ID:N,...  explain-route: the parts of the prompt with their tokens
+  --team NAME              explain-route: the team that sends the request
+  --json                   explain-route: print JSON
   --help, --version
 
 Exit status: 0 done, 1 refused and nothing changed, 2 wrong arguments,
@@ -50,6 +60,7 @@
     TableApply(PathBuf),
     Status,
     Explain(String),
+    ExplainRoute(String, DescribedRequest),
     SettingsCheck(PathBuf),
     Drain(String),
     QuarantineList(String),
@@ -71,6 +82,8 @@
     pub fleet_check: bool,
     /// Whether `drain` ends a drain instead of starting it.
     pub undo: bool,
+    /// Whether `explain-route` prints JSON.
+    pub json: bool,
     /// Timeout for a call to the platform.
     pub timeout: Duration,
 }
@@ -85,6 +98,7 @@
             first: false,
             fleet_check: true,
             undo: false,
+            json: false,
             timeout: Duration::from_millis(settings.platform_timeout_ms),
         }
     }
@@ -100,6 +114,7 @@
 /// Parses the arguments of this process.
 pub(super) fn parse() -> Result<(Command, Options), lexopt::Error> {
     let mut options = Options::default();
+    let mut request = DescribedRequest::default();
     let mut positional: Vec<String> = Vec::new();
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
@@ -111,17 +126,25 @@
             Long("first") => options.first = true,
             Long("no-fleet-check") => options.fleet_check = false,
             Long("undo") => options.undo = true,
+            Long("json") => options.json = true,
+            Long("model") => request.model = Some(parser.value()?.string()?),
+            Long("token-counts") => request.token_counts = Some(parser.value()?.string()?),
+            Long("prompt-parts") => request.prompt_parts = Some(parser.value()?.string()?),
+            Long("team") => request.team = Some(parser.value()?.string()?),
             Long("help") => return Ok((Command::Help, options)),
             Long("version") => return Ok((Command::Version, options)),
             Value(arg) => positional.push(arg.string()?),
             other => return Err(other.unexpected()),
         }
     }
-    Ok((parse_command(&positional)?, options))
+    Ok((parse_command(&positional, request)?, options))
 }
 
 /// Parses the arguments that are not options.
-fn parse_command(positional: &[String]) -> Result<Command, lexopt::Error> {
+fn parse_command(
+    positional: &[String],
+    request: DescribedRequest,
+) -> Result<Command, lexopt::Error> {
     let positional: Vec<&str> = positional.iter().map(String::as_str).collect();
     Ok(match positional.as_slice() {
         ["table", "get"] => Command::TableGet(None),
@@ -131,6 +154,10 @@
         ["table", "apply", path] => Command::TableApply(path.into()),
         ["status"] => Command::Status,
         ["explain", name] => Command::Explain((*name).to_owned()),
+        ["explain-route", node, host, path] => {
+            let (host, path) = ((*host).to_owned(), (*path).to_owned());
+            Command::ExplainRoute((*node).to_owned(), DescribedRequest { host, path, ..request })
+        }
         ["settings", "check", path] => Command::SettingsCheck(path.into()),
         ["quarantine", "list", node] => Command::QuarantineList((*node).to_owned()),
         ["quarantine", "clear", node, part] => {
--- a/savoryport/src/cli/mod.rs
+++ b/savoryport/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod arguments;
 mod drain;
 mod explain;
+mod explain_route;
 mod quarantine;
 mod status;
 pub mod table;
@@ -87,6 +88,9 @@
         Command::TableApply(path) => table::apply(options, &path),
         Command::Status => status::status(options),
         Command::Explain(name) => explain::explain(options, &name),
+        Command::ExplainRoute(node, request) => {
+            explain_route::explain_route(options, &node, &request)
+        }
         Command::SettingsCheck(path) => {
             let checked = Settings::read(&path)?;
             let warnings =
--- a/savoryport/src/cli/quarantine.rs
+++ b/savoryport/src/cli/quarantine.rs
@@ -44,11 +44,11 @@
     }
 }
 
-fn agent(options: &Options) -> Agent {
+pub(super) fn agent(options: &Options) -> Agent {
     Agent::config_builder().timeout_global(Some(options.timeout)).build().into()
 }
 
-fn read_json(
+pub(super) fn read_json(
     result: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
     node: &str,
 ) -> Result<Value, CliError> {
--- a/savoryport/src/metrics_server.rs
+++ b/savoryport/src/metrics_server.rs
@@ -64,8 +64,8 @@
     serve_metrics_and_commands(address, registry, status, |_| None, cancel)
 }
 
-/// Serves the pages of [`serve_metrics`], and operators' commands: `command` gets the path of a
-/// POST request, and returns the response body, or `None` if there is no such command.
+/// Serves the pages of [`serve_metrics`], and operators' commands: `command` gets the path and the
+/// query of a POST request, and returns the response body, or `None` if there is no such command.
 ///
 /// # Errors
 ///
@@ -133,7 +133,8 @@
     fn respond(&self, req: &Request<Incoming>) -> Response<Full<Bytes>> {
         let path = req.uri().path();
         if *req.method() == Method::POST {
-            return match (self.command)(path) {
+            let target = req.uri().path_and_query().map_or(path, |target| target.as_str());
+            return match (self.command)(target) {
                 Some(outcome) => json_response(&outcome),
                 None => text_response(StatusCode::NOT_FOUND, "no such command\n"),
             };
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -19,6 +19,7 @@
 pub mod event_relay;
 pub mod event_splitter;
 mod exchange;
+mod explain_route;
 pub mod fleet;
 mod in_flight;
 mod leadership;
@@ -114,7 +115,7 @@
     let status_cx = cx.clone();
     let status = move || status::status(&status_cx);
     let command_cx = cx.clone();
-    let command = move |path: &str| status::run_command(&command_cx, path);
+    let command = move |target: &str| status::run_command(&command_cx, target);
     let served = crate::metrics_server::serve_metrics_and_commands(
         &metrics_listen.to_string(),
         cx.metrics.registry(),
--- a/savoryport/src/node/receive.rs
+++ b/savoryport/src/node/receive.rs
@@ -106,14 +106,14 @@
 }
 
 /// Refuses a request that is not complete by the time from which the stopping node takes none.
-fn refuse_if_stopping(cx: &NodeContext) -> Result<(), Refusal> {
+pub(super) fn refuse_if_stopping(cx: &NodeContext) -> Result<(), Refusal> {
     match cx.stop_plan.get() {
         Some(plan) if !plan.accepts(cx.now()) => Err(Refusal::stopping(cx.random_unit())),
         _ => Ok(()),
     }
 }
 
-fn find_route<'a>(
+pub(super) fn find_route<'a>(
     deployment: &'a Deployment,
     host: &str,
     path: &str,
--- a/savoryport/src/node/routing_state.rs
+++ b/savoryport/src/node/routing_state.rs
@@ -7,7 +7,7 @@
 
 use savoryport_core::Name;
 use savoryport_core::node::health::HealthTracker;
-use savoryport_core::node::load::LoadTracker;
+use savoryport_core::node::load::{LoadTracker, ServerLoad};
 use savoryport_core::node::prefix::PrefixCacheIndex;
 use savoryport_core::node::quarantine::Quarantine;
 use savoryport_core::node::request_quarantine::RequestQuarantine;
@@ -30,6 +30,8 @@
 pub struct RoutingState {
     /// Requests and prefill work in progress by server.
     pub loads: LoadTracker,
+    /// When this node last learned of the other nodes' loads.
+    pub other_loads_at: Option<Instant>,
     /// The prompt prefixes that each server has probably cached.
     pub prefixes: PrefixCacheIndex,
     /// Failure rates and pauses by server.
@@ -71,6 +73,7 @@
     ) -> Self {
         Self(Mutex::new(RoutingState {
             loads: LoadTracker::default(),
+            other_loads_at: None,
             prefixes,
             health: HealthTracker::default(),
             quarantine: Quarantine::default(),
@@ -106,6 +109,12 @@
         }
     }
 
+    /// Replaces the sums of the loads of all other nodes.
+    pub fn set_other_loads(&mut self, loads: HashMap<Name, ServerLoad>, now: Instant) {
+        self.loads.set_other_nodes(loads);
+        self.other_loads_at = Some(now);
+    }
+
     /// Records a prompt that was sent to a server with a cache of `cache_tokens` tokens.
     pub fn record_prompt(&mut self, record: PromptRecord, cache_tokens: u64, now: Instant) {
         let PromptRecord { server, incarnation, keys } = &record;
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -58,8 +58,11 @@
 /// A server that could take the request, with its entry in the view.
 type KnownCandidate<'a> = (Candidate<'a>, &'a Arc<BackendServer>);
 
+/// A server of the service as a candidate, or with the reason why it is none.
+pub(super) type AssessedServer<'a> = (&'a Arc<BackendServer>, Result<Candidate<'a>, &'static str>);
+
 /// The result of one attempt to select a server.
-enum Selection {
+pub(super) enum Selection {
     Selected(SelectedServer, /* needs the adapter loaded */ bool),
     NoModel,
     NoServer,
@@ -162,13 +165,13 @@
         }
     }
 
-    fn names_adapter(&self) -> bool {
+    pub(super) fn names_adapter(&self) -> bool {
         self.head.generation.as_ref().is_some_and(|generation| generation.adapter.is_some())
     }
 
     /// Returns whether a request waits for room for its adapter if no server has any. Room becomes
     /// free within a second or two as streams end.
-    fn may_wait_for_room(&self) -> bool {
+    pub(super) fn may_wait_for_room(&self) -> bool {
         let elapsed = self.cx.now() - self.arrived_at;
         let total = self.deadline - self.arrived_at;
         self.names_adapter()
@@ -180,7 +183,7 @@
         Refusal::with_retry_after(cause, retry_after(RETRY_AFTER, self.cx.random_unit()))
     }
 
-    fn selection_request(&self) -> SelectionRequest<'_> {
+    pub(super) fn selection_request(&self) -> SelectionRequest<'_> {
         SelectionRequest {
             generation: self.head.generation.as_ref(),
             keys: &self.prefix_keys,
@@ -210,7 +213,11 @@
 
     /// Selects a server among the current ones, without waiting. Servers that name a limit come
     /// after all others, and only if `with_limited` is set.
-    fn try_select(&self, servers_without_room: &[Name], with_limited: bool) -> Selection {
+    pub(super) fn try_select(
+        &self,
+        servers_without_room: &[Name],
+        with_limited: bool,
+    ) -> Selection {
         let view = self.cx.fleet.view();
         let mut candidates = self.candidates(&view);
         candidates.retain(|(candidate, _)| !servers_without_room.contains(&candidate.server.id));
@@ -390,6 +397,12 @@
     }
 
     fn candidates<'a>(&'a self, view: &'a FleetView) -> Vec<KnownCandidate<'a>> {
+        let assessed = self.assess_servers(view).into_iter();
+        assessed.filter_map(|(server, candidate)| Some((candidate.ok()?, server))).collect()
+    }
+
+    /// Returns each server of the service as a candidate, or with the reason why it is none.
+    pub(super) fn assess_servers<'a>(&'a self, view: &'a FleetView) -> Vec<AssessedServer<'a>> {
         let nodes = view.members.len().max(1) as u32;
         let service = self.deployment.services.get(&self.service);
         let limit = service.map_or(u32::MAX, |service| service.connection_limit);
@@ -403,29 +416,42 @@
                 health.is_not_resident(&server.id, copy, server.incarnation, now)
             })
         };
+        let was_tried = |server: &BackendServer| {
+            self.attempted_servers.contains(&server.id)
+                || self.excluded_servers.contains(&server.id)
+        };
         let max_idle = self.max_idle();
         let mut address = String::new();
-        self.ready_servers(view)
-            .filter(|server| {
-                !self.attempted_servers.contains(&server.id)
-                    && !self.excluded_servers.contains(&server.id)
-            })
-            .filter(|server| routing.notices.allow(&server.id, server.incarnation, now))
-            .filter(|server| !lacks_copy(server))
-            .filter(|server| !health.is_full(&server.id, self.route.rank, now))
-            .filter(|server| {
-                own_loads.get(&server.id).is_none_or(|load| load.running < max_running)
-            })
-            .filter_map(|server| {
-                let adapter_orders =
-                    adapter_orders(server, self.head.generation.as_ref(), max_adapters)?;
-                let distance = self.distance(server);
-                address.clear();
-                let _ = write!(address, "{}", server.address);
-                let is_connected = self.cx.request_pool.has_idle(&address, max_idle);
-                Some((Candidate { server, distance, adapter_orders, is_connected }, server))
-            })
-            .collect()
+        let mut assess = |server: &'a BackendServer| {
+            if !server.is_ready() {
+                return Err("shuts down");
+            }
+            if was_tried(server) {
+                return Err("was tried");
+            }
+            if !routing.notices.allow(&server.id, server.incarnation, now) {
+                return Err("wants no requests");
+            }
+            if lacks_copy(server) {
+                return Err("stated not to hold the model or adapter");
+            }
+            if health.is_full(&server.id, self.route.rank, now) {
+                return Err("refused a request because it is full");
+            }
+            if own_loads.get(&server.id).is_some_and(|load| load.running >= max_running) {
+                return Err("takes no more connections of this node");
+            }
+            let adapter_orders =
+                adapter_orders(server, self.head.generation.as_ref(), max_adapters)
+                    .ok_or("does not hold the model, or executes an order")?;
+            let distance = self.distance(server);
+            address.clear();
+            let _ = write!(address, "{}", server.address);
+            let is_connected = self.cx.request_pool.has_idle(&address, max_idle);
+            Ok(Candidate { server, distance, adapter_orders, is_connected })
+        };
+        let servers = view.servers.values().filter(|server| server.service == self.service);
+        servers.map(|server| (server, assess(server))).collect()
     }
 
     fn distance(&self, server: &BackendServer) -> Distance {
--- a/savoryport/src/node/status.rs
+++ b/savoryport/src/node/status.rs
@@ -1,5 +1,6 @@
 //! The status page of a node, as JSON for operators.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use savoryport_core::node::quarantine::QuarantineEntry;
@@ -9,6 +10,7 @@
 
 use super::context::NodeContext;
 use super::domain_controller::DomainController;
+use super::explain_route::explain_route;
 use super::quarantine::{clear_part, format_part};
 use super::request_quarantine::clear_request;
 
@@ -81,8 +83,13 @@
     })
 }
 
-/// Runs the operators' command that a path names; returns `None` if there is no such command.
-pub fn run_command(cx: &NodeContext, path: &str) -> Option<Value> {
+/// Runs the operators' command that a path with a query names; returns `None` if there is no such
+/// command.
+pub fn run_command(cx: &Arc<NodeContext>, target: &str) -> Option<Value> {
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    if path == "/explain-route" {
+        return Some(explain_route(cx, query));
+    }
     let part = path.strip_prefix("/quarantine/clear/")?;
     let id = u64::from_str_radix(part, 16).ok()?;
     let was_quarantined = clear_part(cx, id) | clear_request(cx, id);
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -269,7 +269,7 @@
     // A node that cannot reach the store, or has just started, may know less than this one.
     let applies_servers = applies_servers && reply.is_holder;
     let known_before = following.known_before.take_if(|_| applies_servers);
-    cx.routing.lock().loads.set_other_nodes(reply.loads.iter().cloned().collect());
+    cx.routing.lock().set_other_loads(reply.loads.iter().cloned().collect(), now);
     record_prompts(cx, &reply.prompts, now);
     following.crash_digest = Some(merge_crashes(cx, &reply.crashes));
     merge_limits(cx, &reply.limits);
@@ -328,7 +328,7 @@
     let others = cx.peer_reports.other_loads(None, true, now);
     let nodes = cx.fleet.view().members.len();
     let mut routing = cx.routing.lock();
-    routing.loads.set_other_nodes(others);
+    routing.set_other_loads(others, now);
     routing.retry_budget.set_nodes(nodes);
 }
 
--- a/savoryport_core/src/node/prefix.rs
+++ b/savoryport_core/src/node/prefix.rs
@@ -179,6 +179,10 @@
             (1.0, EVICTED_SHARE)
         };
         let cache = self.servers.entry(server.clone()).or_default();
+        // Another node may report late what it sent before a restart of the server.
+        if self.is_weighing && incarnation < cache.incarnation {
+            return;
+        }
         if cache.incarnation != incarnation {
             *cache = ServerCache { incarnation, ..ServerCache::default() };
         }
--- a/savoryport_core/src/node/selection.rs
+++ b/savoryport_core/src/node/selection.rs
@@ -4,6 +4,7 @@
 //! that is already queued at each server, by rank and over all nodes, against the time that a
 //! cached prefix saves and the cost of a distant server.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -235,6 +236,27 @@
     pub is_connected: bool,
 }
 
+/// The parts of a candidate's cost besides those in [`PrefixValue`], in milliseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct CostParts {
+    /// The prefill of the request itself with the copying of its prefix, or its service time.
+    pub service_ms: f64,
+    /// The wait behind other requests, for a slot and for memory.
+    pub wait_ms: f64,
+    /// The factor by which both are longer at this server.
+    pub slowness: f64,
+    /// The cost of the distance.
+    pub distance_ms: f64,
+    /// The cost of loading the adapter.
+    pub adapter_ms: f64,
+    /// The cost of the server's failures.
+    pub failures_ms: f64,
+    /// The cost of a larger batch.
+    pub batch_ms: f64,
+    /// The cost of a new connection.
+    pub connection_ms: f64,
+}
+
 /// A candidate with its estimates.
 #[derive(Debug, Clone, Copy)]
 pub struct Choice<'a> {
@@ -252,6 +274,8 @@
     pub memory_tokens: u32,
     /// What the prefix is worth at the server, and what its memory costs.
     pub prefix: PrefixValue,
+    /// What the cost consists of.
+    pub parts: CostParts,
     /// The expected time with all costs added, by which candidates are compared, in milliseconds.
     pub cost_ms: f64,
 }
@@ -326,6 +350,16 @@
             .generation
             .map_or(0, |generation| memory_tokens(generation, prefix.held_tokens)),
         prefix,
+        parts: CostParts {
+            service_ms,
+            wait_ms,
+            slowness,
+            distance_ms,
+            adapter_ms,
+            failures_ms,
+            batch_ms,
+            connection_ms,
+        },
         cost_ms: total_ms
             + failures_ms
             + batch_ms
@@ -390,14 +424,31 @@
     request: &SelectionRequest<'_>,
     cx: &SelectionContext<'_>,
 ) -> Option<Choice<'a>> {
+    let longest = longest_cached_prefix(candidates.clone(), request, cx);
+    candidates
+        .map(|candidate| estimate(candidate, longest, request, cx))
+        .min_by(|a, b| compare_choices(a, b, cx))
+}
+
+/// Returns all candidates in the order in which [`choose_server`] prefers them.
+pub fn rank_candidates<'a>(
+    candidates: impl Iterator<Item = Candidate<'a>> + Clone,
+    request: &SelectionRequest<'_>,
+    cx: &SelectionContext<'_>,
+) -> Vec<Choice<'a>> {
+    let longest = longest_cached_prefix(candidates.clone(), request, cx);
+    let mut choices: Vec<Choice<'a>> =
+        candidates.map(|candidate| estimate(candidate, longest, request, cx)).collect();
+    choices.sort_by(|a, b| compare_choices(a, b, cx));
+    choices
+}
+
+fn compare_choices(a: &Choice<'_>, b: &Choice<'_>, cx: &SelectionContext<'_>) -> Ordering {
     let key = |choice: &Choice<'_>| {
         let paused = cx.health.is_paused(&choice.candidate.server.id, cx.now);
         (paused, choice.cost_ms)
     };
-    let longest = longest_cached_prefix(candidates.clone(), request, cx);
-    candidates
-        .map(|candidate| estimate(candidate, longest, request, cx))
-        .min_by(|a, b| key(a).partial_cmp(&key(b)).unwrap_or(std::cmp::Ordering::Equal))
+    key(a).partial_cmp(&key(b)).unwrap_or(Ordering::Equal)
 }
 
 /// Returns the candidate with the longest cached prefix of the prompt, where engines can copy it.
