--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -19,6 +19,7 @@
 pub mod event_relay;
 pub mod event_splitter;
 mod exchange;
+mod explain_route;
 pub mod fleet;
 mod in_flight;
 mod leadership;
@@ -125,7 +126,7 @@
     let status_cx = cx.clone();
     let status = move || status::status(&status_cx);
     let command_cx = cx.clone();
-    let command = move |path: &str| status::run_command(&command_cx, path);
+    let command = move |target: &str| status::run_command(&command_cx, target);
     let served = crate::metrics_server::serve_metrics_and_commands(
         &metrics_listen.to_string(),
         cx.metrics.registry(),
@@ -238,7 +239,12 @@
         request_pool: Pool::default(),
         order_pool: Pool::default(),
         fleet: Fleet::new(member.clone()),
-        routing: SharedRoutingState::new(retry_bound, ASSUMED_NODES, settings.selection_costs()),
+        routing: SharedRoutingState::new(
+            retry_bound,
+            ASSUMED_NODES,
+            settings.selection_costs(),
+            settings.prefix_index(),
+        ),
         peer_reports: PeerReports::default(),
         store_health: StoreHealth::default(),
         tenure: tenure.max(1),
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -293,7 +293,7 @@
     // A node that cannot reach the store, or has just started, may know less than this one.
     let applies_servers = applies_servers && reply.is_holder;
     let known_before = following.known_before.take_if(|_| applies_servers);
-    cx.routing.lock().loads.set_other_nodes(reply.loads.iter().cloned().collect());
+    cx.routing.lock().set_other_loads(reply.loads.iter().cloned().collect(), now);
     cx.entry_subset().record_domain_in_flight(reply.domain_in_flight as usize, now);
     record_prompts(cx, &reply.prompts, now);
     following.crash_digest = Some(merge_crashes(cx, &reply.crashes));
@@ -354,7 +354,7 @@
     cx.entry_subset().record_domain_in_flight(domain_in_flight(cx, now) as usize, now);
     let nodes = cx.fleet.view().members.len();
     let mut routing = cx.routing.lock();
-    routing.loads.set_other_nodes(others);
+    routing.set_other_loads(others, now);
     routing.retry_budget.set_nodes(nodes);
 }
 
