--- a/savoryport_core/tests/server_failures.rs
+++ b/savoryport_core/tests/server_failures.rs
@@ -55,6 +55,7 @@
             service: "drafts",
             rank: 0,
             copy_ms_per_token: None,
+            cache_tokens: None,
         };
         // The server with the open connection varies, as it does among the callers' requests.
         let connected = rng.random_range(0..servers.len());
