--- a/savoryport/src/node/explain_route.rs
+++ b/savoryport/src/node/explain_route.rs
@@ -149,6 +149,7 @@
             path_and_query: description.path.clone(),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            quota_charge: None,
             attempted_servers: Vec::new(),
             excluded_servers: Vec::new(),
             unreachable_count: 0,
