--- a/savoryport_core/src/node/team_quota.rs
+++ b/savoryport_core/src/node/team_quota.rs
@@ -40,6 +40,10 @@
 /// estimate stay above zero.
 const SETTLING_LEVEL: f64 = 0.3;
 
+/// The share of a bucket above which every request is admitted. Requests that were asked for, but
+/// refused for other reasons, use nothing, and must not make a team with units left wait.
+const FREE_LEVEL: f64 = 0.5;
+
 /// A limit without a burst still lets a node spend what accrues in this time at once.
 const MIN_BURST: Duration = Duration::from_millis(250);
 
@@ -357,6 +361,8 @@
             if available < capacity * 0.95 { 0.0 } else { capacity / units }
         } else if available < units {
             0.0
+        } else if available >= FREE_LEVEL * capacity {
+            1.0
         } else {
             (rate + surplus) / demand.max(1e-9)
         };
