Forget refused prompts, and make the weighing of a prefix cheaper

A server that refuses a request reads none of its prompt, but the prompt stayed recorded and attracted later ones. The node now forgets the parts that it recorded for that request alone, and does not report them if it has not yet. A request without a token no longer counts in the time for which requests hold memory.

--- a/savoryport/src/node/in_flight.rs
+++ b/savoryport/src/node/in_flight.rs
@@ -101,7 +101,8 @@
     fn drop(&mut self) {
         let elapsed = self.cx.now() - self.sent_at;
         let mut routing = self.cx.routing.lock();
-        if self.memory_tokens > 0 {
+        // A request that got no token may never have held memory.
+        if self.has_first_token && self.memory_tokens > 0 {
             routing.prefixes.record_request_end(self.memory_tokens, elapsed);
         }
         if !self.has_first_token {
--- a/savoryport/src/node/routing_state.rs
+++ b/savoryport/src/node/routing_state.rs
@@ -124,6 +124,18 @@
         }
     }
 
+    /// Forgets a prompt that was recorded at `recorded_at`, as the server refused it. Without weighing,
+    /// refused prompts count too.
+    pub fn forget_prompt(&mut self, record: &PromptRecord, recorded_at: Instant) {
+        if !self.prefixes.is_weighing() {
+            return;
+        }
+        if let Some(index) = self.new_prompts.iter().rposition(|new| new == record) {
+            self.new_prompts.remove(index);
+        }
+        self.prefixes.forget(&record.server, record.incarnation, &record.keys, recorded_at);
+    }
+
     /// Returns the copies that this node's requests use.
     pub fn copies_in_use(&self) -> Vec<CopyUse> {
         let uses =
--- a/savoryport/src/node/server_response.rs
+++ b/savoryport/src/node/server_response.rs
@@ -13,6 +13,7 @@
 
 use super::proxy::{Attempt, OpenedResponse, ProxyRequest};
 use super::response::forward_response;
+use super::rpc::PromptRecord;
 use super::server_selection::SelectedServer;
 
 /// How long the rest of a response is read after the server did not run the request, so that the
@@ -55,6 +56,12 @@
     /// Handles a response which states that the server did not run the request.
     pub(super) async fn on_not_run(&mut self, opened: OpenedResponse, selected: &SelectedServer) {
         let OpenedResponse { status, headers, body, connection, in_flight, .. } = opened;
+        let record = PromptRecord {
+            server: selected.server.id.clone(),
+            incarnation: selected.server.incarnation,
+            keys: self.prefix_keys.clone(),
+        };
+        self.cx.routing.lock().forget_prompt(&record, in_flight.sent_at());
         drop(in_flight);
         log::info!(
             request = &*self.head.id, server = &*selected.server.id, status = status.as_u16(),
--- a/savoryport_core/src/node/prefix.rs
+++ b/savoryport_core/src/node/prefix.rs
@@ -65,9 +65,10 @@
 struct ServerCache {
     incarnation: u64,
     tokens: u64,
-    parts: HashMap<u64, CachedPart>,
-    /// The tokens of the parts by last use and key.
-    by_last_use: BTreeMap<(Instant, u64), u32>,
+    /// The last use of each part, by key.
+    last_uses: HashMap<u64, Instant>,
+    /// The parts by last use and key.
+    parts: BTreeMap<(Instant, u64), CachedPart>,
     /// When the server was last unreachable, after which it may have restarted.
     unreachable_at: Option<Instant>,
 }
@@ -75,7 +76,6 @@
 #[derive(Debug, Clone, Copy)]
 struct CachedPart {
     tokens: u32,
-    last_used: Instant,
     /// The running average of the time between two uses in seconds; 0 before the second use.
     interval_s: f32,
 }
@@ -101,13 +101,18 @@
         Self { is_weighing: true, ..Self::default() }
     }
 
+    /// Returns whether the index is for estimates of the retention.
+    pub fn is_weighing(&self) -> bool {
+        self.is_weighing
+    }
+
     /// Returns how many of the prompt's first tokens were recorded for the server.
     pub fn cached_tokens(&self, server: &str, incarnation: u64, keys: &PrefixKeys) -> u32 {
         let Some(cache) = self.servers.get(server) else { return 0 };
         if cache.incarnation != incarnation {
             return 0;
         }
-        let cached = keys.iter().take_while(|(key, _)| cache.parts.contains_key(key));
+        let cached = keys.iter().take_while(|(key, _)| cache.last_uses.contains_key(key));
         cached.last().map_or(0, |(_, tokens)| *tokens)
     }
 
@@ -120,16 +125,17 @@
         now: Instant,
     ) -> SmallVec<[PartUse; 4]> {
         let Some(cache) = self.cache_of(server, incarnation) else { return SmallVec::new() };
-        let known = keys.iter().map_while(|(key, _)| cache.parts.get(key));
+        let known = keys.iter().map_while(|(key, _)| cache.part(*key));
         known
-            .map(|part| {
-                let newer = cache.by_last_use.range((part.last_used, u64::MAX)..);
-                cache.part_use(part, newer.map(|(_, tokens)| u64::from(*tokens)).sum(), now)
+            .map(|(last_used, part)| {
+                let newer = cache.parts.range((last_used, u64::MAX)..);
+                let newer_tokens = newer.map(|(_, part)| u64::from(part.tokens)).sum();
+                cache.part_use(&part, last_used, newer_tokens, now)
             })
             .collect()
     }
 
-    /// Returns the last uses of all parts that are recorded for a server, least recently used first.
+    /// Returns the last uses of the parts of a server that are in use, least recently used first.
     pub fn least_recent_uses(
         &self,
         server: &str,
@@ -138,9 +144,10 @@
     ) -> impl Iterator<Item = PartUse> {
         self.cache_of(server, incarnation).into_iter().flat_map(move |cache| {
             let mut newer_tokens = cache.tokens;
-            cache.by_last_use.iter().filter_map(move |((_, key), tokens)| {
-                newer_tokens = newer_tokens.saturating_sub(u64::from(*tokens));
-                Some(cache.part_use(cache.parts.get(key)?, newer_tokens, now))
+            cache.parts.iter().filter_map(move |((last_used, _), part)| {
+                newer_tokens = newer_tokens.saturating_sub(u64::from(part.tokens));
+                let was_used_again = part.interval_s > 0.0;
+                was_used_again.then(|| cache.part_use(part, *last_used, newer_tokens, now))
             })
         })
     }
@@ -196,6 +203,27 @@
         }
     }
 
+    /// Removes the parts of a prompt that were first recorded at `recorded_at`, since the server refused
+    /// the request and read none of it.
+    pub fn forget(
+        &mut self,
+        server: &str,
+        incarnation: u64,
+        keys: &PrefixKeys,
+        recorded_at: Instant,
+    ) {
+        let cache = self.servers.get_mut(server);
+        let Some(cache) = cache.filter(|cache| cache.incarnation == incarnation) else { return };
+        for (key, _) in keys {
+            let part = cache.parts.get(&(recorded_at, *key)).copied();
+            if let Some(part) = part.filter(|part| part.interval_s == 0.0) {
+                cache.last_uses.remove(key);
+                cache.parts.remove(&(recorded_at, *key));
+                cache.tokens -= u64::from(part.tokens);
+            }
+        }
+    }
+
     /// Records that a server could not be reached. It may have restarted, which the registry shows
     /// only with its next heartbeat.
     pub fn record_unreachable(&mut self, server: &str, now: Instant) {
@@ -216,11 +244,11 @@
 
 impl ServerCache {
     fn record_part(&mut self, key: u64, tokens: u32, now: Instant) {
-        let mut part = CachedPart { tokens, last_used: now, interval_s: 0.0 };
-        if let Some(former) = self.parts.get(&key) {
-            self.by_last_use.remove(&(former.last_used, key));
+        let mut part = CachedPart { tokens, interval_s: 0.0 };
+        if let Some((last_used, former)) = self.part(key) {
+            self.parts.remove(&(last_used, key));
             self.tokens -= u64::from(former.tokens);
-            let interval = now.saturating_duration_since(former.last_used);
+            let interval = now.saturating_duration_since(last_used);
             let interval_s = interval.as_secs_f32().max(MIN_INTERVAL_S);
             part.interval_s = if former.interval_s > 0.0 {
                 former.interval_s + (interval_s - former.interval_s) * NEWEST_INTERVAL_WEIGHT
@@ -228,13 +256,25 @@
                 interval_s
             };
         }
-        self.parts.insert(key, part);
-        self.by_last_use.insert((now, key), tokens);
+        self.last_uses.insert(key, now);
+        self.parts.insert((now, key), part);
         self.tokens += u64::from(tokens);
     }
 
-    fn part_use(&self, part: &CachedPart, tokens_since: u64, now: Instant) -> PartUse {
-        let age = now.saturating_duration_since(part.last_used);
+    /// Returns a part with its last use.
+    fn part(&self, key: u64) -> Option<(Instant, CachedPart)> {
+        let last_used = *self.last_uses.get(&key)?;
+        Some((last_used, *self.parts.get(&(last_used, key))?))
+    }
+
+    fn part_use(
+        &self,
+        part: &CachedPart,
+        last_used: Instant,
+        tokens_since: u64,
+        now: Instant,
+    ) -> PartUse {
+        let age = now.saturating_duration_since(last_used);
         let reuse = if part.interval_s > 0.0 {
             1.0 - age.as_secs_f32() / (part.interval_s * OUT_OF_USE_INTERVALS)
         } else {
@@ -244,16 +284,16 @@
             tokens: part.tokens,
             tokens_since,
             age,
-            may_be_lost: self.unreachable_at.is_some_and(|at| at >= part.last_used),
+            may_be_lost: self.unreachable_at.is_some_and(|at| at >= last_used),
             reuse: f64::from(reuse.max(0.0)),
         }
     }
 
     fn evict(&mut self, target_tokens: u64) {
         while self.tokens > target_tokens {
-            let Some(((_, key), tokens)) = self.by_last_use.pop_first() else { return };
-            self.parts.remove(&key);
-            self.tokens -= u64::from(tokens);
+            let Some(((_, key), part)) = self.parts.pop_first() else { return };
+            self.last_uses.remove(&key);
+            self.tokens -= u64::from(part.tokens);
         }
     }
 }
--- a/savoryport_core/tests/prefix_value.rs
+++ b/savoryport_core/tests/prefix_value.rs
@@ -169,6 +169,23 @@
     assert_eq!(replay.held_at_a(&prompt(1, 3), 1.3), 0);
 }
 
+/// Guards against a saving that is expected where a full server refused the only such prompt.
+#[test]
+fn a_refused_prompt_is_forgotten_unless_its_parts_were_known() {
+    let mut replay = Replay::new();
+    let forget = |replay: &mut Replay, own, s| {
+        let at = replay.at(s);
+        replay.prefixes.forget("a", 1, &prompt(1, own).prefix_keys(), at);
+    };
+    replay.record("a", &prompt(1, 2), 0.0);
+    forget(&mut replay, 2, 0.0);
+    assert_eq!(replay.held_at_a(&prompt(1, 3), 0.1), 0);
+    replay.record("a", &prompt(1, 2), 0.2);
+    replay.record("a", &prompt(1, 3), 0.3);
+    forget(&mut replay, 3, 0.3);
+    assert_eq!(replay.held_at_a(&prompt(1, 3), 0.4), 8_000);
+}
+
 /// Guards against losing the affinity of a session while memory is free, and against keeping it
 /// when the records of other nodes are missing although streams use most of the memory.
 #[test]
