Bound what a caller's stated tokens do to the weighing of prefixes

A request may state any number of tokens. One with far more than the cache holds made its server's memory look full beyond its capacity, and its record evicted all others of the server from the index. In weighing, a request now counts for at most the whole cache, and a prompt that no cache can hold is not recorded.

--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -381,7 +381,7 @@
             priority: self.head.generation.as_ref().map(|_| priority),
             prefill_ms: choice.prefill_ms,
             saving_ms: choice.saving_ms,
-            memory_tokens: choice.memory_tokens,
+            memory_tokens: choice.prefix.memory_tokens,
             copy_from: choice.copy_from.map(|source| source.address),
             expected_latency: choice.expected_latency,
             permit: permit(self.longest_wait(&input)),
--- a/savoryport_core/src/node/prefix.rs
+++ b/savoryport_core/src/node/prefix.rs
@@ -180,6 +180,11 @@
         capacity: u64,
         now: Instant,
     ) {
+        // No server can have cached it, and it would evict all other records.
+        let stated_tokens = keys.last().map_or(0, |(_, tokens)| u64::from(*tokens));
+        if self.is_weighing && stated_tokens > capacity {
+            return;
+        }
         let (kept_share, evicted_share) = if self.is_weighing {
             (KEPT_SHARE, KEPT_SHARE - MIN_KEPT_SHARE)
         } else {
--- a/savoryport_core/src/node/prefix_value.rs
+++ b/savoryport_core/src/node/prefix_value.rs
@@ -63,6 +63,8 @@
     pub held_tokens: u32,
     /// The time since the last use of the longest recorded prefix.
     pub age: Option<Duration>,
+    /// The tokens of memory that the request holds besides the prefix, at most the whole cache.
+    pub memory_tokens: u32,
     /// The expected wait for memory, in milliseconds.
     pub memory_wait_ms: f64,
     /// The time in which the engine reads requests anew that it preempts for this one, in
@@ -73,6 +75,11 @@
 }
 
 impl ServerMemory {
+    /// Returns the capacity, where no request needs more: what callers state may be far too high.
+    fn capacity_u32(&self) -> u32 {
+        u32::try_from(self.capacity).unwrap_or(u32::MAX)
+    }
+
     /// Returns the probability that the server still holds a part of a prompt.
     pub fn retention(&self, part: &PartUse) -> f64 {
         let probability = self.retention_with(part, 0.0);
@@ -189,14 +196,16 @@
     };
     let uses = index.part_uses(&server.id, server.incarnation, request.keys, now);
     let held_tokens = memory.held_tokens(&uses).min(generation.prompt_tokens);
-    let needed = f64::from(memory_tokens(generation, held_tokens));
+    let memory_tokens = memory_tokens(generation, held_tokens).min(memory.capacity_u32());
+    let needed = f64::from(memory_tokens);
     let wait_ms = memory.wait_ms(needed, request.rank);
     let preempted = memory.preempted_tokens(needed, request.rank);
     let displaced = displaced_tokens(server, &memory, needed, index, now);
     PrefixValue {
-        recorded_tokens: uses.iter().map(|part| part.tokens).sum(),
+        recorded_tokens: uses.iter().fold(0, |sum, part| u32::saturating_add(sum, part.tokens)),
         held_tokens,
         age: uses.last().map(|part| part.age),
+        memory_tokens,
         memory_wait_ms: wait_ms,
         preemption_ms: speeds.prefill_ms(&generation.model, preempted as u32),
         displaced_ms: speeds.prefill_ms(&generation.model, (displaced * DISPLACED_SHARE) as u32),
--- a/savoryport_core/src/node/selection.rs
+++ b/savoryport_core/src/node/selection.rs
@@ -270,8 +270,6 @@
     pub expected_latency: Duration,
     /// The time that the cached prefix is expected to save at the server, in milliseconds.
     pub saving_ms: f32,
-    /// The tokens of KV cache memory that the request holds besides the cached prefix.
-    pub memory_tokens: u32,
     /// What the prefix is worth at the server, and what its memory costs.
     pub prefix: PrefixValue,
     /// What the cost consists of.
@@ -346,9 +344,6 @@
         copy_from,
         expected_latency: Duration::from_secs_f64(total_ms / 1e3),
         saving_ms: saving_ms(request, &prefix, slowness, cx),
-        memory_tokens: request
-            .generation
-            .map_or(0, |generation| memory_tokens(generation, prefix.held_tokens)),
         prefix,
         parts: CostParts {
             service_ms,
@@ -382,6 +377,9 @@
         return PrefixValue {
             recorded_tokens: recorded,
             held_tokens: recorded,
+            memory_tokens: request
+                .generation
+                .map_or(0, |generation| memory_tokens(generation, recorded)),
             ..PrefixValue::default()
         };
     };
--- a/savoryport_core/tests/prefix_value.rs
+++ b/savoryport_core/tests/prefix_value.rs
@@ -237,6 +237,28 @@
     assert_eq!(&*replay.chosen(&prompt(1, 3), 0.1), "b");
 }
 
+/// Guards against a caller that states far too many tokens, and makes its server look full for ever.
+#[test]
+fn a_request_counts_for_at_most_the_whole_memory() {
+    let mut replay = Replay::new();
+    let huge = Generation { prompt_tokens: u32::MAX, output_tokens: u32::MAX, ..prompt(1, 3) };
+    let held = |choice: &Choice<'_>| choice.prefix.memory_tokens;
+    let tokens = replay.choose(&huge, 0.1, Some(CACHE_TOKENS), |id| id == "a", held);
+    assert_eq!(u64::from(tokens), CACHE_TOKENS);
+    let mut long = prompt(2, 5);
+    long.parts[1].tokens = u32::MAX;
+    replay.record("a", &prompt(1, 2), 0.0);
+    replay.record("a", &long, 0.1);
+    assert_eq!(replay.held_at_a(&prompt(1, 3), 0.2), 8_000);
+    let mut loads = LoadTracker::default();
+    loads.start_request(&"a".into(), 0, 1.0);
+    loads.start_request(&"a".into(), 0, 1.0);
+    loads.hold_tokens("a", 0, 500);
+    loads.hold_tokens("a", 0, tokens);
+    loads.release_tokens("a", 0, tokens);
+    assert_eq!(loads.total("a").tokens, [500, 0, 0]);
+}
+
 /// Guards against a new copy of a prefix that evicts prefixes in use, where another server has only
 /// ones that nobody uses any more.
 #[test]
