Trust no restored store against nodes that know better, and show no key in errors

A node that restarted after the store went back to an older copy took the copy's configuration for the newest one, and accepted withdrawn keys until its first sync. A leader or follower with an older version than it has heard of confirms nothing.

--- a/savoryport/src/node/exchange.rs
+++ b/savoryport/src/node/exchange.rs
@@ -7,7 +7,7 @@
 use savoryport_core::Name;
 use savoryport_core::node::load::ServerLoad;
 
-use super::config_age::confirm_config_of_peer;
+use super::config_age::{confirm_config_of_peer, trusted_era};
 use super::context::NodeContext;
 use super::peer_server::{add_loads, record_prompts};
 use super::quarantine::{crash_exchange, merge_crashes};
@@ -84,6 +84,7 @@
         role: Role::Holder,
         is_leaving: false,
         have: SyncPosition { config: cx.fleet.view().version(), ..have.sync },
+        trusted_era: trusted_era(cx),
         loads: loads.into_iter().collect(),
         work_ms: Vec::new(),
         demand: if cx.settings.is_in_own_region(domain) {
@@ -110,7 +111,7 @@
         }
     };
     fetch_config(cx, leader, &Arc::default(), reply.position.config);
-    confirm_config_of_peer(cx, reply.position.config, reply.config_age_ms, asked_at);
+    confirm_config_of_peer(cx, reply.position.config, reply.config_age, asked_at);
     cx.peer_reports.record_domain_loads(domain, reply.loads.clone(), cx.now());
     cx.peer_reports.add_domain_prompts(&reply.prompts);
     record_prompts(cx, &reply.prompts, cx.now());
--- a/savoryport/src/node/peer_server.rs
+++ b/savoryport/src/node/peer_server.rs
@@ -17,7 +17,7 @@
 use tarpc::tokio_serde::formats::Bincode;
 
 use super::NodeError;
-use super::config_age::config_age_ms;
+use super::config_age::{config_age_report, record_caller};
 use super::context::NodeContext;
 use super::prompt_log::PromptLog;
 use super::quarantine::{crash_exchange, merge_crashes};
@@ -27,6 +27,8 @@
     SyncRequest,
 };
 use super::server_limits::{decide_permit, limits_since, merge_limits};
+use super::store_reader::accept_config;
+use super::view::AcceptedConfig;
 
 /// How long a report of another node is used.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
@@ -215,6 +217,7 @@
             }
             Role::Holder => cx.peer_reports.lock().prompts.shared_prefixes_since(0),
         };
+        record_caller(cx, req.have.config, req.trusted_era);
         let their_digest = merge_crashes(cx, &req.crashes);
         merge_limits(cx, &req.limits);
         let known_limits = if req.have.tenure == cx.tenure { req.have.limits } else { 0 };
@@ -230,7 +233,8 @@
             servers: Vec::new(),
             removed: Vec::new(),
             members: None,
-            config_age_ms: config_age_ms(cx),
+            // Before the version below, which may only be newer then.
+            config_age: config_age_report(cx),
             loads: loads.into_iter().collect(),
             prompts,
             crashes: crash_exchange(cx, Some(their_digest)),
@@ -260,6 +264,13 @@
         Some(config.packed().to_vec())
     }
 
+    async fn offer_config(self, _: Context, packed: Vec<u8>) {
+        match AcceptedConfig::unpack(&packed) {
+            Ok(raw) => self.cx.fleet.update(|state| accept_config(state, &raw, "follower")),
+            Err(err) => log::warn!(err:% = err; "cannot unpack the config of a follower"),
+        }
+    }
+
     async fn want_adapter(
         self,
         _: Context,
--- a/savoryport/src/node/receive.rs
+++ b/savoryport/src/node/receive.rs
@@ -32,6 +32,9 @@
         arrived_at: Instant,
     ) -> Result<Self, Refusal> {
         refuse_if_stopping(&cx)?;
+        // Asked before the configuration is read: were the order reversed, a newer one could be put
+        // in force and confirmed in between, and the keys of the older one would be accepted.
+        let confirms_keys = confirms_keys(&cx);
         let view = cx.fleet.view();
         let retry_after = Duration::from_millis(cx.settings.store_poll_ms);
         let deployment = view
@@ -41,12 +44,11 @@
         let (parts, body) = req.into_parts();
         let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
         let mut route = find_route(&deployment, host, parts.uri.path())?.clone();
-        let team = find_team(&cx, &deployment, &route, &parts.headers);
-        let team = match team {
+        let team = match find_team(&deployment, &route, &parts.headers, confirms_keys) {
             Ok(team) => team,
-            Err(refusal) => {
+            Err(cause) => {
                 discard_body(body).await;
-                return Err(refusal);
+                return Err(refuse_key(&cx, cause));
             }
         };
         if let Some(rank) = team.as_ref().and_then(|team| team.rank) {
@@ -127,34 +129,40 @@
 
 /// Returns the team whose key a request names; none where the operators configure no teams.
 fn find_team(
-    cx: &NodeContext,
     deployment: &Deployment,
     route: &Route,
     headers: &HeaderMap,
-) -> Result<Option<Arc<Team>>, Refusal> {
+    confirms_keys: bool,
+) -> Result<Option<Arc<Team>>, RefusalCause> {
     let Some(teams) = &deployment.teams else { return Ok(None) };
-    if !confirms_keys(cx) {
-        let retry_after =
-            retry_after(Duration::from_millis(cx.settings.store_poll_ms), cx.random_unit());
-        let refusal = Refusal::with_retry_after(RefusalCause::KeysUnconfirmed, retry_after);
-        return if route.is_public { Ok(None) } else { Err(refusal) };
+    if !confirms_keys {
+        return if route.is_public { Ok(None) } else { Err(RefusalCause::KeysUnconfirmed) };
     }
     match request_key(headers).and_then(|key| teams.team_of(key)) {
         Some(team) => Ok(Some(team.clone())),
         None if route.is_public => Ok(None),
-        None => Err(Refusal::new(RefusalCause::UnknownKey)),
+        None => Err(RefusalCause::UnknownKey),
     }
 }
 
-/// Reads a short body that nobody needs. A connection that is closed with unread bytes is reset, and
-/// the caller may lose the refusal.
-async fn discard_body(body: Incoming) {
+fn refuse_key(cx: &NodeContext, cause: RefusalCause) -> Refusal {
+    if cause != RefusalCause::KeysUnconfirmed {
+        return Refusal::new(cause);
+    }
+    let poll_interval = Duration::from_millis(cx.settings.store_poll_ms);
+    Refusal::with_retry_after(cause, retry_after(poll_interval, cx.random_unit()))
+}
+
+/// Reads a short body that nobody needs, without keeping it. A connection that is closed with unread
+/// bytes is reset, and the caller may lose the refusal.
+async fn discard_body(mut body: Incoming) {
     /// Longer bodies, or those without a length, are not read.
     const MAX_BYTES: u64 = 64 * 1024;
     /// The time for the rest of the body to arrive.
     const TIMEOUT: Duration = Duration::from_millis(500);
     if body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_BYTES) {
-        let _ = tokio::time::timeout(TIMEOUT, body.collect()).await;
+        let rest = async { while let Some(Ok(_)) = body.frame().await {} };
+        let _ = tokio::time::timeout(TIMEOUT, rest).await;
     }
 }
 
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use savoryport_core::Name;
+use savoryport_core::node::config_age::ConfigAgeReport;
 use savoryport_core::node::load::ServerLoad;
 use savoryport_core::node::quarantine::CrashReport;
 use savoryport_core::node::registry::BackendServer;
@@ -110,6 +111,9 @@
     pub is_leaving: bool,
     /// The state of the called node that it already has.
     pub have: SyncPosition,
+    /// The era of the store in which the calling node trusts the configuration; `None` if it has no
+    /// teams.
+    pub trusted_era: Option<u64>,
     /// The load that its own requests put on each server; from a leader, the load by its whole
     /// failure domain.
     pub loads: Vec<(Name, ServerLoad)>,
@@ -148,9 +152,9 @@
     pub removed: Vec<Name>,
     /// The members and leaders, if they changed.
     pub members: Option<Membership>,
-    /// The time since the called node's configuration was known to be the newest one, in
-    /// milliseconds; `None` if it is not known to have been.
-    pub config_age_ms: Option<u64>,
+    /// The age of the called node's knowledge that its configuration is the newest one; `None` if it
+    /// does not know that, or has no teams.
+    pub config_age: Option<ConfigAgeReport>,
     /// The load on each server: for a follower by all other nodes, for a leader by the called
     /// node's failure domain.
     pub loads: Vec<(Name, ServerLoad)>,
@@ -182,6 +186,8 @@
     async fn sync(req: SyncRequest) -> SyncReply;
     /// Returns the configuration in force, compressed, if its version is higher than `have`.
     async fn config(have: u64) -> Option<Vec<u8>>;
+    /// Takes the compressed configuration that the calling node has in force, if it is newer.
+    async fn offer_config(packed: Vec<u8>);
     /// Has an adapter loaded at a server. The reply is sent once the adapter can be used or its
     /// loading has failed.
     async fn want_adapter(server: Name, model: Name, adapter: Name) -> Availability;
@@ -253,6 +259,16 @@
         self.client.config(call_context(timeout), have).await.map_err(|err| self.call_error(&err))
     }
 
+    /// Calls [`Peer::offer_config`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call fails or times out.
+    pub async fn offer_config(&self, packed: Vec<u8>, timeout: Duration) -> Result<(), PeerError> {
+        let reply = self.client.offer_config(call_context(timeout), packed).await;
+        reply.map_err(|err| self.call_error(&err))
+    }
+
     /// Calls [`Peer::want_adapter`].
     ///
     /// # Errors
--- a/savoryport/src/node/store_reader.rs
+++ b/savoryport/src/node/store_reader.rs
@@ -242,7 +242,7 @@
             changes.revision.max(after)
         }
     };
-    confirm_config(cx, asked_at);
+    confirm_config(cx, asked_at, revision.era);
     *position = Position { all: Some(revision), leader: revision };
     Ok(())
 }
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -11,7 +11,7 @@
 use savoryport_core::node::server_limit::LimitReport;
 use tokio::sync::watch;
 
-use super::config_age::confirm_config_of_peer;
+use super::config_age::{confirm_config_of_peer, has_teams, trusted_era};
 use super::context::NodeContext;
 use super::peer_server::record_prompts;
 use super::quarantine::{crash_exchange, expire_crashes, merge_crashes};
@@ -196,7 +196,8 @@
             }
             (following.failing_since, following.is_lost) = (None, false);
             fetch_config(cx, &leader, &following.fetching, reply.position.config);
-            confirm_config_of_peer(cx, reply.position.config, reply.config_age_ms, asked_at);
+            confirm_config_of_peer(cx, reply.position.config, reply.config_age, asked_at);
+            offer_config(cx, &leader, &following.fetching, reply.position.config);
             apply_reply(cx, following, reply, applies_servers)
         }
         Err(err) => {
@@ -248,6 +249,7 @@
         role: Role::Follower,
         is_leaving: cx.stopping.is_cancelled(),
         have: SyncPosition { config: cx.fleet.view().version(), ..following.have },
+        trusted_era: trusted_era(cx),
         loads: routing.loads.own().iter().map(|(server, load)| (server.clone(), *load)).collect(),
         work_ms: routing.work_ms.drain().collect(),
         demand: Vec::new(),
@@ -352,6 +354,36 @@
     });
 }
 
+/// Sends the configuration in force to a leader that has an older one with keys that may have been
+/// withdrawn. That is so after the leader restarted and read a restored copy of the store.
+fn offer_config(
+    cx: &Arc<NodeContext>,
+    leader: &DomainLeader,
+    fetching: &Arc<AtomicBool>,
+    their_version: u64,
+) {
+    let is_wanted = has_teams(cx) && their_version < cx.fleet.view().version();
+    if !is_wanted || fetching.swap(true, Ordering::Relaxed) {
+        return;
+    }
+    let (cx, address, fetching) = (cx.clone(), leader.peers, fetching.clone());
+    tokio::spawn(async move {
+        if let Err(err) = try_offer_config(&cx, address).await {
+            log::warn!(err:% = err; "cannot send the config to the holder");
+        }
+        fetching.store(false, Ordering::Relaxed);
+    });
+}
+
+async fn try_offer_config(cx: &NodeContext, address: SocketAddr) -> Result<(), PeerError> {
+    let Some(packed) = cx.fleet.view().config.as_ref().map(|config| config.packed().to_vec())
+    else {
+        return Ok(());
+    };
+    let connection = cx.peers.get_or_connect(address).await?;
+    connection.offer_config(packed, CONFIG_TIMEOUT).await
+}
+
 async fn try_fetch_config(cx: &NodeContext, address: SocketAddr) -> Result<(), PeerError> {
     let failed = |problem: String| PeerError { address, problem };
     let connection = cx.peers.get_or_connect(address).await?;
--- a/savoryport/src/node/view.rs
+++ b/savoryport/src/node/view.rs
@@ -1,6 +1,7 @@
 //! An immutable snapshot of what a node knows about the fleet.
 
 use std::collections::BTreeMap;
+use std::fmt::{self, Debug, Formatter};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -38,7 +39,7 @@
 ///
 /// The bytes are kept compressed: with a few thousand routes they are half a megabyte, which takes
 /// the link of a small VM one second for each follower.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct AcceptedConfig {
     /// The decoded configuration.
     pub deployment: Arc<Deployment>,
@@ -46,6 +47,16 @@
     packed: Arc<[u8]>,
 }
 
+/// Leaves out the bytes, which hold the teams' keys.
+impl Debug for AcceptedConfig {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AcceptedConfig")
+            .field("deployment", &self.deployment)
+            .field("packed_bytes", &self.packed.len())
+            .finish()
+    }
+}
+
 impl AcceptedConfig {
     /// Creates a configuration with the bytes that it was decoded from, and compresses these.
     ///
