--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -30,6 +30,9 @@
 /// The shortest time between orders of two leaders to one server, in milliseconds.
 pub const ORDER_TURN_MS: u64 = 1_500;
 
+/// The time within which a withdrawn key must stop working, in milliseconds.
+pub const KEY_WITHDRAWAL_MS: u64 = 5_000;
+
 /// A node process, which can be stopped and started again.
 pub struct SiteNode {
     pub name: String,
@@ -61,6 +64,8 @@
     pub plain_services: Vec<&'static str>,
     /// The timeout of all routes in the next configuration, in milliseconds.
     pub route_timeout_ms: f64,
+    /// The teams of the next configuration, each with its keys. `None` leaves them out.
+    pub teams: Option<Vec<(&'static str, Vec<&'static str>)>>,
     /// The failure domain of the nodes and servers that are started next.
     pub failure_domain: &'static str,
     /// All failure domains.
@@ -114,6 +119,7 @@
             models: MODELS.to_vec(),
             plain_services: Vec::new(),
             route_timeout_ms: 4_000.0,
+            teams: None,
             failure_domain: failure_domains[0],
             failure_domains: failure_domains.to_vec(),
             starts: 0,
@@ -198,6 +204,13 @@
                 "name": service, "healthPath": "/health", "connectionLimit": 100,
             }));
         }
+        if let Some(teams) = &self.teams {
+            let teams = teams.iter().map(|(name, keys)| json!({ "name": name, "apiKeys": keys }));
+            config["tenants"] = teams.collect();
+            let mut public = route("open", "/open/", "idempotent", "orders");
+            public["public"] = true.into();
+            config["routes"].as_array_mut().expect("a list of routes").push(public);
+        }
         self.store.write("op/config", &config);
     }
 
@@ -314,7 +327,7 @@
             "store": store_proxy.address(), "first_start": true,
             "order_turn_ms": ORDER_TURN_MS, "min_lease_ms": 500,
             "store_poll_ms": 100, "store_timeout_ms": 400, "stop_within_s": 5.0,
-            "retry_extra": 60.0, "log_level": "info",
+            "retry_extra": 60.0, "log_level": "info", "key_withdrawal_ms": KEY_WITHDRAWAL_MS,
         });
         let file = self._dir.path().join(format!("{name}.json"));
         let mut node = SiteNode {
@@ -424,6 +437,19 @@
         self.process = Some(child);
     }
 
+    /// Changes a setting from the next start on.
+    pub fn set(&mut self, setting: &str, value: Value) {
+        self.settings[setting] = value;
+    }
+
+    /// Returns the content of the node's metrics page.
+    pub fn metrics(&self) -> String {
+        let url = format!("http://{}/metrics", self.metrics_address());
+        let response = agent(Duration::from_millis(500)).get(&url).call();
+        let body = response.ok().and_then(|mut response| response.body_mut().read_to_string().ok());
+        body.expect("the node has metrics")
+    }
+
     /// Sends the process a signal.
     pub fn signal(&self, signal: Signal) {
         if let Some(process) = &self.process {
@@ -558,6 +584,24 @@
     receive(request.send("draft"))
 }
 
+/// Sends a request for this path with further headers to the node at `address`.
+pub fn send_with_headers(
+    address: &str,
+    id: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> CallerResponse {
+    let request = caller_agent()
+        .get(format!("http://{address}/{path}/{id}"))
+        .header("Host", "site.example")
+        .header("X-Attempt-Id", id)
+        .header("X-Deadline-Ms", "4000");
+    let add = |request: ureq::RequestBuilder<_>, (name, value): &(&str, &str)| {
+        request.header(*name, *value)
+    };
+    receive(headers.iter().fold(request, add).call())
+}
+
 /// Posts a request with this path and body to the node at `address`.
 pub fn post(address: &str, id: &str, path: &str, body: &str) -> CallerResponse {
     let request = caller_agent()
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -3,7 +3,7 @@
 //! It records what savoryport's guarantees limit: how often each request ran, which leader sent
 //! which orders, and how often memory was overcommitted.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io::Write;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
@@ -109,6 +109,8 @@
     /// When requests arrived that are no reports or orders.
     arrivals: Vec<Instant>,
     runs_by_request: HashMap<String, u32>,
+    /// The headers of the last requests, with the id of each.
+    heads: VecDeque<(String, Vec<(String, String)>)>,
     orders: Vec<ReceivedOrder>,
     accepted_orders: u64,
     adapters_by_model: BTreeMap<String, Vec<String>>,
@@ -216,6 +218,13 @@
         self.lock().runs_by_request.clone()
     }
 
+    /// Returns the headers of a request, with their names in lower case, if it is one of the last few
+    /// thousand that arrived.
+    pub fn headers_of(&self, request: &str) -> Option<Vec<(String, String)>> {
+        let state = self.lock();
+        state.heads.iter().find(|(id, _)| id == request).map(|(_, headers)| headers.clone())
+    }
+
     /// Returns the received orders, oldest first.
     pub fn orders(&self) -> Vec<ReceivedOrder> {
         self.lock().orders.clone()
@@ -296,6 +305,18 @@
         format!("{}{leaving}", limit.unwrap_or_default())
     }
 
+    fn record_head(&mut self, id: &str, req: &Request) {
+        /// The number of requests of which the headers are kept.
+        const MAX_HEADS: usize = 4_096;
+        if self.heads.len() == MAX_HEADS {
+            self.heads.pop_front();
+        }
+        let headers = req.headers().iter().map(|header| {
+            (header.field.to_string().to_ascii_lowercase(), header.value.to_string())
+        });
+        self.heads.push_back((id.to_owned(), headers.collect()));
+    }
+
     fn execute_order(&mut self, cfg: &BackendConfig, order: &Value) -> u16 {
         if order["precondition"].as_u64().is_some_and(|expected| expected != self.accepted_orders) {
             return 409;
@@ -347,6 +368,7 @@
     let (fault, proof) = {
         let mut state = state.lock().expect("no thread panics while holding the lock");
         state.arrivals.push(Instant::now());
+        state.record_head(&id, &req);
         let notices = state.notice_headers();
         let is_for_other_server =
             header(&req, "x-expect-instance").is_some_and(|expected| expected != cfg.id);
