Hold teams with digests of their keys in the table, and ask for the keys at entries

Operators of the product's own daemons could name callers only in the settings, with the keys themselves. Entries look keys up by digest and use the team's rank; they do not enforce the limits yet. A table without teams is written as before.

--- a/savoryport/src/cli/arguments.rs
+++ b/savoryport/src/cli/arguments.rs
@@ -20,6 +20,8 @@
   status                   show the fleet at a glance
   explain NAME             show where a model or adapter is, and why
   settings check FILE.json check the daemons' settings
+  key new                  make a key for a team, and print it once with its digest for the table
+  key digest               read a key from standard input and print its digest
   drain VM                 send a VM no new work, or with --undo send it work again
   quarantine list IP:PORT  list the requests and the parts of prompts that nodes refuse;
                            IP:PORT is the metrics address of any savoryport-node
@@ -51,6 +53,8 @@
     Status,
     Explain(String),
     SettingsCheck(PathBuf),
+    KeyNew,
+    KeyDigest,
     Drain(String),
     QuarantineList(String),
     QuarantineClear(String, String),
@@ -131,6 +135,8 @@
         ["table", "apply", path] => Command::TableApply(path.into()),
         ["status"] => Command::Status,
         ["explain", name] => Command::Explain((*name).to_owned()),
+        ["key", "new"] => Command::KeyNew,
+        ["key", "digest"] => Command::KeyDigest,
         ["settings", "check", path] => Command::SettingsCheck(path.into()),
         ["quarantine", "list", node] => Command::QuarantineList((*node).to_owned()),
         ["quarantine", "clear", node, part] => {
--- a/savoryport/src/cli/mod.rs
+++ b/savoryport/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod arguments;
 mod drain;
 mod explain;
+mod key;
 mod quarantine;
 mod status;
 pub mod table;
@@ -93,6 +94,8 @@
                 checked.unknown_keys.iter().map(|key| format!("unknown key {key:?} ignored\n"));
             Ok(format!("{}{}: settings are good", warnings.collect::<String>(), path.display()))
         }
+        Command::KeyNew => Ok(key::new()),
+        Command::KeyDigest => key::digest(),
         Command::Drain(vm) => drain::drain(options, &vm),
         Command::QuarantineList(node) => quarantine::list(options, &node),
         Command::QuarantineClear(node, part) => quarantine::clear(options, &node, &part),
--- a/savoryport/src/cli/table.rs
+++ b/savoryport/src/cli/table.rs
@@ -11,7 +11,8 @@
 use std::time::{Duration, Instant};
 
 use savoryport_core::table::{
-    Row, RowChange, Table, TableDelta, TableError, check_memory_fit, merge_rows, parse_csv, to_csv,
+    Row, RowChange, Table, TableDelta, TableError, check_key_digests, check_memory_fit, merge_rows,
+    parse_csv, to_csv,
 };
 use savoryport_platform::kv::{EtcdClient, KeyValueService, KvError, PutResult, Revision};
 use savoryport_platform::vms;
@@ -175,8 +176,10 @@
         );
         return Err(CliError::Refused(message));
     }
-    merge_rows(&base.rows, rows, &current.rows)
-        .map_err(|err| CliError::Refused(format!("refused: {err}")))
+    let refused = |err: &dyn std::fmt::Display| CliError::Refused(format!("refused: {err}"));
+    let merged = merge_rows(&base.rows, rows, &current.rows).map_err(|err| refused(&err))?;
+    check_key_digests(&merged).map_err(|err| refused(&err))?;
+    Ok(merged)
 }
 
 /// Describes the rows that differ from a table, one per line: added with `+`, changed with `~` and
--- a/savoryport/src/control/mod.rs
+++ b/savoryport/src/control/mod.rs
@@ -18,7 +18,6 @@
 
 use futures::FutureExt;
 use savoryport_core::clock::{Clock, SystemClock};
-use savoryport_core::table::RowKind;
 use savoryport_platform::kv::EtcdClient;
 use serde_json::json;
 use thiserror::Error;
@@ -120,7 +119,7 @@
     let is_loaded = |name: &savoryport_core::Name| {
         replica.residency.values().any(|residency| residency.loaded.contains(name))
     };
-    let items = replica.table.rows.iter().filter(|row| row.kind != RowKind::Service);
+    let items = replica.table.rows.iter().filter(|row| row.is_item());
     items.map(|row| row.name.clone()).filter(|name| !is_loaded(name)).collect()
 }
 
--- a/savoryport/src/entry/completion.rs
+++ b/savoryport/src/entry/completion.rs
@@ -15,7 +15,7 @@
 use savoryport_core::hash::prefix_hash;
 use savoryport_core::rank::Rank;
 use savoryport_core::request_lifecycle::{Outcome, RequestEvent, RequestLifecycle};
-use savoryport_core::table::{Row, RowKind};
+use savoryport_core::table::Row;
 use savoryport_platform::connection::{Connection, SendError};
 use savoryport_platform::wire::{CompletionRequest, DRAINING_HEADER};
 use smallvec::SmallVec;
@@ -122,12 +122,12 @@
             return Err(malformed("prompt or messages: must not be empty".to_owned()));
         }
         let table = cx.fleet.borrow().table.clone();
-        let row = table.get(&completion.model).filter(|row| row.kind != RowKind::Service);
+        let row = table.get(&completion.model).filter(|row| row.is_item());
         let Some(row) = row.cloned() else {
             let message = format!("no model or adapter {:?}", completion.model);
             return Err(Refusal::invalid(StatusCode::NOT_FOUND, "unknown-model", message));
         };
-        let rank = requested_rank(req, row.rank)?;
+        let rank = requested_rank(req, req.team_rank.unwrap_or(row.rank))?;
         let time_to_deadline = requested_deadline(req, &row)?;
         let arrived_at = cx.clock.now();
         Ok(Self {
--- a/savoryport/src/entry/mod.rs
+++ b/savoryport/src/entry/mod.rs
@@ -59,6 +59,8 @@
     incarnation: u64,
     dispatcher: DispatcherHandle,
     fleet: watch::Receiver<Arc<Replica>>,
+    /// The keys of the table's teams.
+    team_keys: server::TeamKeyCache,
     pool: Pool,
     kv: Arc<EtcdClient>,
     claims: claim::Claims,
@@ -112,6 +114,7 @@
         dispatcher,
         fleet,
         clock,
+        team_keys: server::TeamKeyCache::default(),
         pool: Pool::default(),
         metrics,
         requests: TaskTracker::new(),
--- a/savoryport/src/entry/server.rs
+++ b/savoryport/src/entry/server.rs
@@ -16,8 +16,10 @@
 use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, StatusCode};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use savoryport_core::rank::Rank;
+use savoryport_core::table::{Table, TeamKeys};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
@@ -36,10 +38,13 @@
     pub(super) method: Method,
     pub(super) path: String,
     pub(super) query: HashMap<String, String>,
-    pub(super) headers: hyper::HeaderMap,
+    pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
-    /// The name of the caller in the settings, or `anonymous` if the settings have no callers.
+    /// The name of the caller in the settings or of the team in the table, or `anonymous` if there are
+    /// neither.
     pub(super) caller: String,
+    /// The rank of the caller's team, which takes precedence over that of the row.
+    pub(super) team_rank: Option<Rank>,
 }
 
 impl CallerRequest {
@@ -196,7 +201,7 @@
         let message = "give content-length or transfer-encoding, not both";
         return Err(Refusal::invalid(StatusCode::BAD_REQUEST, "ambiguous-length", message));
     }
-    let caller = authorize(cx, &head.headers)?;
+    let (caller, team_rank) = authorize(cx, &head.headers)?;
     let read_body = Limited::new(body, cx.settings.max_body_bytes).collect();
     let read_timeout = Duration::from_millis(cx.settings.read_timeout_ms);
     let body = match tokio::time::timeout(read_timeout, read_body).await {
@@ -217,28 +222,50 @@
         headers: head.headers,
         body,
         caller,
+        team_rank,
     })
 }
 
-fn authorize(cx: &Context, headers: &hyper::HeaderMap) -> Result<String, Refusal> {
+/// Returns the name of the caller whose key a request carries, and the rank of its team if it is one
+/// of the table's.
+fn authorize(cx: &Context, headers: &HeaderMap) -> Result<(String, Option<Rank>), Refusal> {
     let callers = &cx.settings.callers;
-    if callers.is_empty() {
-        return Ok("anonymous".to_owned());
+    let table = cx.fleet.borrow().table.clone();
+    let teams = cx.team_keys.of(&table);
+    if callers.is_empty() && !teams.has_teams() {
+        return Ok(("anonymous".to_owned(), None));
     }
     let key = headers
         .get(AUTHORIZATION)
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.strip_prefix("Bearer "));
+    if let Some((name, rank)) = key.and_then(|key| teams.team_of(key)) {
+        return Ok((name.to_string(), Some(*rank)));
+    }
     callers
         .iter()
         .find(|caller| Some(caller.key.as_str()) == key)
-        .map(|caller| caller.name.to_string())
+        .map(|caller| (caller.name.to_string(), None))
         .ok_or_else(|| {
             let message = "give a known key as bearer token";
             Refusal::invalid(StatusCode::UNAUTHORIZED, "unauthorized", message)
         })
 }
 
+/// The teams of the table in force by key, built anew for each version of the table.
+#[derive(Default)]
+pub(super) struct TeamKeyCache(Mutex<(Arc<Table>, Arc<TeamKeys>)>);
+
+impl TeamKeyCache {
+    fn of(&self, table: &Arc<Table>) -> Arc<TeamKeys> {
+        let mut cached = self.0.lock().expect("no thread panics while holding the lock");
+        if !Arc::ptr_eq(&cached.0, table) {
+            *cached = (table.clone(), Arc::new(TeamKeys::new(&table.rows)));
+        }
+        cached.1.clone()
+    }
+}
+
 /// Parses a query string without decoding escapes, which no valid item name needs.
 fn parse_query(query: &str) -> HashMap<String, String> {
     query
--- a/savoryport/src/entry/service.rs
+++ b/savoryport/src/entry/service.rs
@@ -112,7 +112,8 @@
     let name = req.path.split('/').nth(2).unwrap_or_default();
     let table = cx.fleet.borrow().table.clone();
     let row = table.get(name).filter(|row| row.kind == RowKind::Service);
-    row.cloned().ok_or_else(|| {
+    let row = row.map(|row| Row { rank: req.team_rank.unwrap_or(row.rank), ..row.clone() });
+    row.ok_or_else(|| {
         let message = format!("no service {name:?}");
         Refusal::invalid(StatusCode::NOT_FOUND, "unknown-service", message)
     })
--- a/savoryport/tests/commands.rs
+++ b/savoryport/tests/commands.rs
@@ -3,8 +3,11 @@
 
 mod site;
 
-use std::process::{Command, Output};
+use std::io::Write as _;
+use std::process::{Command, Output, Stdio};
+use std::time::Duration;
 
+use serde_json::json;
 use site::{Site, TABLE};
 
 fn run_cli(args: &[&str]) -> Output {
@@ -140,3 +143,104 @@
     );
     assert!(run_successfully(&["drain", "engine-1", "--undo"]).contains("drain taken back"));
 }
+
+/// Returns a new key and its digest.
+fn new_key() -> (String, String) {
+    let made = to_text(&run_cli(&["key", "new"]).stdout);
+    let value = |name: &str| {
+        let line = made.lines().find_map(|line| line.strip_prefix(name));
+        line.unwrap_or_else(|| panic!("{made}")).to_owned()
+    };
+    (value("key: "), value("digest: "))
+}
+
+fn digest_of(key: &str) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_savoryport"));
+    command.args(["key", "digest"]).stdin(Stdio::piped()).stdout(Stdio::piped());
+    let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+    child.stdin.take().unwrap().write_all(key.as_bytes()).unwrap();
+    child.wait_with_output().unwrap()
+}
+
+#[test]
+fn keys_are_made_and_digested() {
+    let (key, digest) = new_key();
+    assert_ne!(key, new_key().0);
+    for text in [key.clone(), format!("{key}\n"), format!("{key}\r\n")] {
+        assert_eq!(to_text(&digest_of(&text).stdout).trim(), digest);
+    }
+    for bad in [String::new(), "\n".to_owned(), "s3cret".repeat(100)] {
+        let output = digest_of(&bad);
+        assert_eq!(output.status.code(), Some(1));
+        assert!(!to_text(&output.stderr).contains("s3cret"));
+    }
+}
+
+/// Guards against a table whose teams the entries do not enforce, and against commands that print a
+/// key.
+#[test]
+fn teams_of_the_table_need_their_keys_and_lose_them() {
+    let site = Site::start();
+    let settings = site.nodes[0].settings_file.to_str().unwrap().to_owned();
+    let file = site.temp_dir().join("teams.csv");
+    let path = file.to_str().unwrap();
+    let run = |args: &[&str]| run_cli(&[&["--settings", &settings], args].concat());
+    let ((old, old_digest), (kept, kept_digest)) = (new_key(), new_key());
+    let table = |keys: &str| {
+        let mut lines = TABLE.lines();
+        let header = lines.next().unwrap();
+        let rows: String = lines.map(|line| format!("{line},,,,\n")).collect();
+        format!(
+            "{header},unit,per_second,burst,key_digests\n{rows}\
+             team,ada,,,,batch,,,,,,tokens,29000,29000,{keys}\n"
+        )
+    };
+    let ask = |node: usize, headers: &[(&str, &str)]| {
+        let body = json!({ "model": "quick", "prompt": "hi", "max_tokens": 2 });
+        let address = site.entry_address(node);
+        site::post(address, "/v1/completions", headers, &body).map_or(0, |res| res.status)
+    };
+    let bearer = |key: &str| format!("Bearer {key}");
+    let (old_header, kept_header) = (bearer(&old), bearer(&kept));
+    let (old_header, kept_header) =
+        ([("authorization", &*old_header)], [("authorization", &*kept_header)]);
+    assert_eq!(ask(0, &[]), 200, "no key is needed without teams");
+    assert!(run(&["table", "get", path]).status.success());
+    // A key in place of its digest, and a key of two teams.
+    let twice =
+        table(&old_digest).replace("team,ada", "team,bob").lines().last().unwrap().to_owned();
+    for bad in [table(&old), format!("{}{twice}\n", table(&old_digest))] {
+        std::fs::write(&file, bad).unwrap();
+        for command in ["check", "diff", "apply"] {
+            let output = run(&["table", command, path]);
+            let shown = to_text(&output.stderr) + &to_text(&output.stdout);
+            assert_eq!(output.status.code(), Some(1), "{shown}");
+            assert!(shown.contains("column key_digests") && !shown.contains(&old), "{shown}");
+        }
+    }
+    std::fs::write(&file, table(&format!("{old_digest} {kept_digest}"))).unwrap();
+    assert!(to_text(&run(&["table", "check", path]).stdout).contains("7 rows are good"));
+    let differs = to_text(&run(&["table", "diff", path]).stdout);
+    assert!(differs.starts_with("+ team,ada,,,,batch"), "{differs}");
+    let applied = run(&["table", "apply", path]);
+    assert!(applied.status.success(), "{}", to_text(&applied.stderr));
+    site::wait_for("every entry asks for keys", Duration::from_secs(10), || {
+        (0..3).all(|node| ask(node, &[]) == 401)
+    });
+    let digest_header = bearer(&old_digest);
+    for node in 0..3 {
+        assert_eq!(ask(node, &old_header), 200);
+        assert_eq!(ask(node, &kept_header), 200);
+        assert_eq!(ask(node, &[("authorization", &digest_header)]), 401);
+        assert_eq!(ask(node, &[("authorization", "Bearer ")]), 401);
+    }
+    std::fs::write(&file, table(&kept_digest)).unwrap();
+    let differs = to_text(&run(&["table", "diff", path]).stdout);
+    assert!(differs.starts_with("~ team,ada"), "{differs}");
+    assert!(run(&["table", "apply", path]).status.success());
+    site::wait_for("the key stops working", Duration::from_secs(10), || {
+        (0..3).all(|node| ask(node, &old_header) == 401 && ask(node, &kept_header) == 200)
+    });
+    let got = to_text(&run(&["table", "get"]).stdout);
+    assert!(got.contains(&kept_digest) && !got.contains(&old) && !got.contains(&kept), "{got}");
+}
--- a/savoryport_bench/src/capacity.rs
+++ b/savoryport_bench/src/capacity.rs
@@ -131,6 +131,7 @@
         between_tokens_ms: 70,
         min_copies: 1,
         repeatable: true,
+        team: None,
     }
 }
 
--- a/savoryport_core/src/table/mod.rs
+++ b/savoryport_core/src/table/mod.rs
@@ -4,6 +4,7 @@
 
 mod delta;
 mod parse;
+mod team;
 
 use std::collections::HashMap;
 
@@ -11,7 +12,8 @@
 use thiserror::Error;
 
 pub use self::delta::{MergeConflict, RowChange, TableDelta, merge_rows};
-pub use self::parse::{COLUMNS, parse_csv, to_csv};
+pub use self::parse::{COLUMNS, TEAM_COLUMNS, check_key_digests, parse_csv, to_csv};
+pub use self::team::{KeyDigest, NoDigest, TeamColumns, TeamKeys, TeamUnit};
 use crate::Name;
 use crate::rank::Rank;
 
@@ -28,6 +30,8 @@
         Adapter,
         /// A service that is not served by a model engine.
         Service,
+        /// A team whose keys may send requests.
+        Team,
     }
 }
 
@@ -57,6 +61,9 @@
         pub min_copies: u32,
         /// Whether a request may be repeated after an attempt that may have been executed.
         pub repeatable: bool,
+        /// What only a team has. The numbers above are 0 for a team.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub team: Option<TeamColumns>,
     }
 
     /// A version of the table.
@@ -112,6 +119,13 @@
     },
 }
 
+impl Row {
+    /// Returns whether the row is a model or an adapter.
+    pub fn is_item(&self) -> bool {
+        matches!(self.kind, RowKind::Model | RowKind::Adapter)
+    }
+}
+
 impl Table {
     /// Returns the row with the given name.
     pub fn get(&self, name: &str) -> Option<&Row> {
@@ -120,7 +134,7 @@
 
     /// Returns the rows of models and adapters, which take accelerator memory.
     pub fn items(&self) -> impl Iterator<Item = &Row> {
-        self.rows.iter().filter(|row| row.kind != RowKind::Service)
+        self.rows.iter().filter(|row| row.is_item())
     }
 
     /// Encodes the table for the key-value service.
--- a/savoryport_core/tests/placement.rs
+++ b/savoryport_core/tests/placement.rs
@@ -22,6 +22,7 @@
         between_tokens_ms: 70,
         min_copies,
         repeatable: true,
+        team: None,
     }
 }
 
--- a/savoryport_core/tests/reachability_search.rs
+++ b/savoryport_core/tests/reachability_search.rs
@@ -97,6 +97,7 @@
             between_tokens_ms: 1,
             min_copies: 1,
             repeatable: true,
+            team: None,
         };
         let rows = MODELS.iter().map(row).collect();
         let table = Table { version: 1, change_id: String::new(), rows };
--- a/savoryport_core/tests/replica.rs
+++ b/savoryport_core/tests/replica.rs
@@ -20,6 +20,7 @@
         between_tokens_ms: 1,
         min_copies: 1,
         repeatable: true,
+        team: None,
     };
     let rows = (0..3).filter(|index| !(version + index).is_multiple_of(3)).map(row).collect();
     Table { version, change_id: version.to_string(), rows }
--- a/savoryport_core/tests/table.rs
+++ b/savoryport_core/tests/table.rs
@@ -4,8 +4,8 @@
 use proptest::prelude::*;
 use savoryport_core::rank::Rank;
 use savoryport_core::table::{
-    CellError, MAX_TABLE_BYTES, Row, RowKind, Table, TableDelta, TableError, check_memory_fit,
-    merge_rows, parse_csv, to_csv,
+    CellError, KeyDigest, MAX_TABLE_BYTES, Row, RowKind, Table, TableDelta, TableError, TeamKeys,
+    check_key_digests, check_memory_fit, merge_rows, parse_csv, to_csv,
 };
 
 const HEADER: &str = "kind,name,base,memory_mib,weight,rank,max_in_flight,first_token_ms,\
@@ -113,6 +113,100 @@
     assert_eq!(&*conflict.names[0], "a");
 }
 
+/// Parses a table whose header has the columns of teams.
+fn parse_teams(rows: &str) -> Result<Vec<Row>, TableError> {
+    let header = HEADER.trim_end();
+    parse_csv(format!("{header},unit,per_second,burst,key_digests\n{rows}").as_bytes())
+}
+
+#[test]
+fn teams_are_read_with_their_limits_and_digests() {
+    let (first, second) = (KeyDigest::of("k1"), KeyDigest::of("k2"));
+    let text = format!(
+        "model,m,,100,1,urgent,8,800,70,1,yes,,,,\n\
+         team,ada,,,,urgent,,,,,,tokens,29000,58000,{first} {second}\n\
+         team,bob,,,,batch,,,,,,requests,0,0,\n"
+    );
+    let rows = parse_teams(&text).unwrap();
+    let team = rows[1].team.as_ref().unwrap();
+    assert_eq!((team.per_second, team.burst, team.key_digests.len()), (29_000, 58_000, 2));
+    assert_eq!(parse_csv(to_csv(&rows).as_bytes()).unwrap(), rows);
+    let table = Table { rows: rows.clone(), ..Table::default() };
+    let decoded: Table = serde_json::from_slice(&table.encode().unwrap()).unwrap();
+    assert_eq!(decoded, table);
+    assert_eq!(table.items().count(), 1);
+    let keys = TeamKeys::new(&rows);
+    let (name, rank) = keys.team_of("k2").unwrap();
+    assert_eq!((&**name, *rank), ("ada", Rank::Urgent));
+    // The digest of a key is no key.
+    assert!(keys.team_of(&first.to_string()).is_none() && keys.team_of("").is_none());
+}
+
+/// Guards against files and tables of deployments without teams that change.
+#[test]
+fn a_table_without_teams_is_written_as_before() {
+    let rows = parse("model,m,,100,1,urgent,8,800,70,1,yes\n").unwrap();
+    assert_eq!(to_csv(&rows), format!("{HEADER}model,m,,100,1,urgent,8,800,70,1,yes\n"));
+    let json = String::from_utf8(Table { rows, ..Table::default() }.encode().unwrap()).unwrap();
+    assert!(!json.contains("team"), "{json}");
+    assert!(!TeamKeys::new(&[]).has_teams());
+}
+
+#[test]
+fn a_team_twice_and_a_key_of_two_teams_are_refused_with_row_and_column() {
+    let digest = KeyDigest::of("k1");
+    let cases = [
+        ("team,ada,,,,urgent,,,,,,tokens,1,1,\nteam,ada,,,,urgent,,,,,,tokens,1,1,", 3, "name"),
+        (
+            "team,ada,,,,urgent,,,,,,tokens,1,1,D\nteam,bob,,,,urgent,,,,,,tokens,1,1,D",
+            3,
+            "key_digests",
+        ),
+        ("team,ada,,,,urgent,,,,,,tokens,1,1,D D", 2, "key_digests"),
+        ("team,ada,,,,urgent,,,,,,tokens,-1,1,", 2, "per_second"),
+        ("team,ada,,,,urgent,,,,,,tokens,1,x,", 2, "burst"),
+        ("team,ada,,,,urgent,,,,,,calls,1,1,", 2, "unit"),
+        ("team,ada,,,,soon,,,,,,tokens,1,1,", 2, "rank"),
+        ("team,,,,,urgent,,,,,,tokens,1,1,", 2, "name"),
+        ("team,ada,,5,,urgent,,,,,,tokens,1,1,", 2, "memory_mib"),
+        ("model,m,,100,1,urgent,8,800,70,1,yes,tokens,,,", 2, "unit"),
+    ];
+    for (rows, line, column) in cases {
+        let Err(TableError::Cells(errors)) = parse_teams(&rows.replace('D', &digest.to_string()))
+        else {
+            panic!("{rows:?} is accepted");
+        };
+        assert_eq!((errors[0].line, &*errors[0].column), (line, column), "{rows:?}: {errors:?}");
+        assert_eq!(errors.len(), 1, "{rows:?}: {errors:?}");
+    }
+    // Two operators may give the same key to two teams, which a merge brings together.
+    let team = |name: &str| {
+        parse_teams(&format!("team,{name},,,,urgent,,,,,,tokens,1,1,{digest}")).unwrap().remove(0)
+    };
+    let merged = merge_rows(&[], &[team("ada")], &[team("bob")]).unwrap();
+    assert_matches!(check_key_digests(&merged), Err(TableError::Cells(errors))
+        if errors[0].line == 3 && errors[0].column == "key_digests");
+    let keys = TeamKeys::new(&merged);
+    assert!(keys.has_teams() && keys.team_of("k1").is_none());
+}
+
+/// Guards against a key in the place of its digest that an error message prints.
+#[test]
+fn a_key_in_the_table_is_refused_and_not_shown() {
+    let err = parse_teams("team,ada,,,,urgent,,,,,,tokens,1,1,s3cret").unwrap_err();
+    let shown = format!("{err} {err:?}");
+    assert!(shown.contains("key_digests") && !shown.contains("s3cret"), "{shown}");
+    for text in ["", "zz", &"g".repeat(64), &"é".repeat(32), &"a".repeat(65)] {
+        assert!(format!("sha256:{text}").parse::<KeyDigest>().is_err(), "{text:?}");
+    }
+    // A key of hexadecimal digits does not pass for a digest.
+    assert!("a".repeat(64).parse::<KeyDigest>().is_err());
+    // The digest of the empty text, from the standard's examples.
+    let empty = "sha256:e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855";
+    assert_eq!(KeyDigest::of("").to_string(), empty);
+    assert_eq!(empty.parse(), Ok(KeyDigest::of("")));
+}
+
 fn arbitrary_rows() -> impl Strategy<Value = Vec<Row>> {
     prop::collection::btree_map("[a-e]", (1..99_u32, 1..9_u32), 0..5).prop_map(|rows| {
         let row = |(name, (memory_mib, weight)): (String, (u32, u32))| Row {
@@ -127,6 +221,7 @@
             between_tokens_ms: 50,
             min_copies: 1,
             repeatable: true,
+            team: None,
         };
         rows.into_iter().map(row).collect()
     })
