--- a/savoryport/src/node/exchange.rs
+++ b/savoryport/src/node/exchange.rs
@@ -8,7 +8,7 @@
 use savoryport_core::node::load::ServerLoad;
 use savoryport_core::node::team_quota::{Recipient, Reporter};
 
-use super::config_age::confirm_config_of_peer;
+use super::config_age::{confirm_config_of_peer, trusted_era};
 use super::context::NodeContext;
 use super::peer_server::{add_loads, record_prompts};
 use super::quarantine::{crash_exchange, merge_crashes};
@@ -93,6 +93,7 @@
         role: Role::Holder,
         is_leaving: false,
         have: SyncPosition { config: cx.fleet.view().version(), ..have.sync },
+        trusted_era: trusted_era(cx),
         loads: loads.into_iter().collect(),
         work_ms: Vec::new(),
         demand: if cx.settings.is_in_own_region(domain) {
@@ -120,7 +121,7 @@
         }
     };
     fetch_config(cx, leader, &Arc::default(), reply.position.config);
-    confirm_config_of_peer(cx, reply.position.config, reply.config_age_ms, asked_at);
+    confirm_config_of_peer(cx, reply.position.config, reply.config_age, asked_at);
     let reporter = Reporter::OtherLeader(leader.vm.clone());
     record_team_use(cx, &reporter, reply.team_use.as_ref(), asked_at);
     cx.peer_reports.record_domain_loads(domain, reply.loads.clone(), cx.now());
