Give refused callers a turn at the pace at which room becomes free

A refused caller was told to return when half the backlog is gone, plus up to half of that at random, whatever number of callers had been told the same. Each node now books turns for what a model or a service has of each rank, one after another at the pace of its admissions, in the order of the refusals. No turn is booked after the time at which the caller leaves. A request that returns before its turn while others are due is refused without a choice of a server, and goes to the end of the line. The setting schedule_returns turns it off.

--- a/savoryport/src/node/routing_state.rs
+++ b/savoryport/src/node/routing_state.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use savoryport_core::Name;
+use savoryport_core::node::admission::ReturnSchedule;
 use savoryport_core::node::health::HealthTracker;
 use savoryport_core::node::load::LoadTracker;
 use savoryport_core::node::prefix::PrefixCacheIndex;
@@ -48,6 +49,8 @@
     pub allowances: AllowanceLedger,
     /// The retries that may still be sent.
     pub retry_budget: RetryBudget,
+    /// When refused callers return.
+    pub returns: ReturnSchedule,
     /// The number of this node's requests in progress by copy.
     pub requests_by_copy: HashMap<CopyKey, u32>,
     /// Server time that requests asked for since the last sync, by model, in milliseconds.
@@ -75,6 +78,7 @@
             limits: LimitBook::default(),
             allowances: AllowanceLedger::default(),
             retry_budget: RetryBudget::new(bound, nodes),
+            returns: ReturnSchedule::default(),
             requests_by_copy: HashMap::new(),
             work_ms: HashMap::new(),
             new_prompts: Vec::new(),
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -7,7 +7,7 @@
 
 use savoryport_core::Name;
 use savoryport_core::node::admission::{
-    AdmissionDecision, AdmissionInput, decide_admission, retry_after, spare_wait,
+    AdmissionDecision, AdmissionInput, RefusedRequest, decide_admission, retry_after, spare_wait,
 };
 use savoryport_core::node::deployment::EngineClass;
 use savoryport_core::node::registry::BackendServer;
@@ -60,7 +60,7 @@
     NoModel,
     NoServer,
     Limited { retry_after: Duration },
-    Overload { expected_latency: Duration, retry_after: Duration },
+    Overload { expected_latency: Duration, room_in: Duration },
 }
 
 impl ProxyRequest {
@@ -118,6 +118,9 @@
                 RETRY_AFTER.mul_f64(1.0 + self.cx.random_unit()),
             ));
         }
+        if let Some(wait) = self.time_until_turn() {
+            return Err(Refusal::with_retry_after(RefusalCause::Overload, wait));
+        }
         let mut waited_for_model = false;
         let mut servers_without_room: Vec<Name> = Vec::new();
         let mut denied_permits = 0;
@@ -126,10 +129,10 @@
                 Selection::Selected(selected, _) if !self.acquire_permit(&selected).await => {
                     denied_permits += 1;
                 }
-                Selection::Selected(selected, false) => return Ok(selected),
+                Selection::Selected(selected, false) => return Ok(self.admitted(selected)),
                 Selection::Selected(selected, true) => {
                     if self.load_adapter(&selected.server).await {
-                        return Ok(selected);
+                        return Ok(self.admitted(selected));
                     }
                     servers_without_room.push(selected.server.id.clone());
                 }
@@ -150,14 +153,63 @@
                 Selection::Limited { retry_after } => {
                     return Err(Refusal::with_retry_after(RefusalCause::Limited, retry_after));
                 }
-                Selection::Overload { expected_latency, retry_after } => {
+                Selection::Overload { expected_latency, room_in } => {
                     self.expected_latency = expected_latency;
+                    let retry_after = self.book_return(room_in);
                     return Err(Refusal::with_retry_after(RefusalCause::Overload, retry_after));
                 }
             }
         }
     }
 
+    /// Returns what the request competes for: its model, or the servers of its service.
+    fn kind(&self) -> &Name {
+        self.head.generation.as_ref().map_or(&self.service, |generation| &generation.model)
+    }
+
+    /// Returns a number that the attempts of this request have in common.
+    fn number(&self) -> u64 {
+        self.identity.content ^ self.identity.caller.rotate_left(1)
+    }
+
+    /// Notes that the request is sent for the first time.
+    fn admitted(&self, selected: SelectedServer) -> SelectedServer {
+        if self.schedules_returns() {
+            let (rank, now) = (self.route.rank, self.cx.now());
+            let mut routing = self.cx.routing.lock();
+            routing.returns.record_admission(self.kind(), rank, self.number(), now);
+        }
+        selected
+    }
+
+    /// Returns whether the request is subject to the schedule of returns: a repeat or the rest of a
+    /// stream is not refused for the turn of others.
+    fn schedules_returns(&self) -> bool {
+        self.cx.settings.schedule_returns && self.attempted_servers.is_empty()
+    }
+
+    fn time_until_turn(&self) -> Option<Duration> {
+        if !self.schedules_returns() {
+            return None;
+        }
+        let (rank, now) = (self.route.rank, self.cx.now());
+        self.cx.routing.lock().returns.time_until_turn(self.kind(), rank, self.number(), now)
+    }
+
+    /// Returns when the caller of a refused request may return; `room_in` is the time until room is
+    /// expected.
+    fn book_return(&self, room_in: Duration) -> Duration {
+        let random = self.cx.random_unit();
+        if !self.cx.settings.schedule_returns {
+            return retry_after(room_in, random);
+        }
+        let (rank, now) = (self.route.rank, self.cx.now());
+        let mut routing = self.cx.routing.lock();
+        let (request, time_left) = (self.number(), self.remaining_time());
+        let refused = RefusedRequest { request, room_in, time_left };
+        routing.returns.book(self.kind(), rank, &refused, random, now)
+    }
+
     fn names_adapter(&self) -> bool {
         self.head.generation.as_ref().is_some_and(|generation| generation.adapter.is_some())
     }
@@ -347,12 +399,13 @@
             return Selection::NoServer;
         };
         let input = self.admission_input(choice.expected_latency, now);
-        let priority = match decide_admission(&input, self.cx.random_unit()) {
+        // The time to return is spread when the request is refused for good.
+        let priority = match decide_admission(&input, 0.0) {
             AdmissionDecision::Admit { priority } => priority,
             AdmissionDecision::Refuse { retry_after } => {
                 return Selection::Overload {
                     expected_latency: choice.expected_latency,
-                    retry_after,
+                    room_in: retry_after,
                 };
             }
         };
--- a/savoryport/src/node/settings.rs
+++ b/savoryport/src/node/settings.rs
@@ -52,6 +52,9 @@
     /// Whether the directory sends callers to the nodes of a failure domain by the capacity of their
     /// VMs. Otherwise all nodes count as equal. Default true.
     pub weigh_node_capacity: bool,
+    /// Whether refused callers get times to return of their own, at the pace at which room becomes
+    /// free. Otherwise these are only spread at random. Default true.
+    pub schedule_returns: bool,
     /// The number of file descriptors that the process may use. Default 4,096.
     pub file_descriptors: u64,
     /// The minimum time between the orders of two successive leaders to one server, in
@@ -125,6 +128,7 @@
             memory_mb: 256,
             link_mbps: 1_000.0,
             weigh_node_capacity: true,
+            schedule_returns: true,
             file_descriptors: 4_096,
             order_turn_ms: 3_000,
             min_lease_ms: 1_000,
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -140,6 +140,7 @@
             let mut routing = cx.routing.lock();
             routing.retain_servers(|server| view.servers.contains_key(server));
             routing.health.set_services(services, cx.now());
+            routing.returns.expire(cx.now());
             drop(routing);
             expire_crashes(&cx);
             expire_request_crashes(&cx);
