Keep connections of a stopping node open while a response is being written

A connection without a request in progress was closed one second after a stopping node takes no more, also if its last response was still being written: 4 MB take 3.2 s on a link of 10 Mbit/s. It now counts as idle only when no write waits for the caller. No test shows a response that was cut.

A test with three node processes shows that the capacity of a node reaches all directories, which list it several times.

--- a/savoryport/src/node/callers.rs
+++ b/savoryport/src/node/callers.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::NodeError;
+use super::caller_stream::CallerStream;
 use super::context::NodeContext;
 use super::open_work::OpenCount;
 use super::proxy;
@@ -39,8 +40,8 @@
 /// connections to servers, nodes and the store.
 const CALLER_DESCRIPTOR_SHARE: f64 = 0.5;
 
-/// How long a connection without a request stays open once the stopping node takes no more. The last
-/// response may still be on its way: 400 kB take 320 ms on a link of 10 Mbit/s.
+/// How long a connection without a request, and with nothing left to write, stays open once the
+/// stopping node takes no more requests. A head that was sent before may still be on its way.
 const IDLE_CLOSE_TIME: Duration = Duration::from_millis(1_000);
 
 /// The number of checks within that time.
@@ -100,6 +101,8 @@
         }
     };
     let own_requests = Arc::new(AtomicUsize::new(0));
+    let is_write_blocked = Arc::new(AtomicBool::new(false));
+    let stream = CallerStream::new(stream, is_write_blocked.clone());
     let service = service_fn(|req| respond(cx.clone(), caller, own_requests.clone(), req));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -111,7 +114,11 @@
         result = connection.as_mut() => result,
         () = cx.connection_shutdown.cancelled() => {
             connection.as_mut().graceful_shutdown();
-            match end_connection(connection, &own_requests).await {
+            let is_idle = || {
+                own_requests.load(Ordering::Relaxed) == 0
+                    && !is_write_blocked.load(Ordering::Relaxed)
+            };
+            match end_connection(connection, is_idle).await {
                 Some(result) => result,
                 None => return log::debug!(caller:% = caller; "connection without a request closed"),
             }
@@ -122,11 +129,11 @@
     }
 }
 
-/// Waits for the end of a connection that is being shut down; returns `None` if the caller has sent no
-/// complete request head and read its last response for [`IDLE_CLOSE_TIME`].
+/// Waits for the end of a connection that is being shut down; returns `None` if it has been idle for
+/// [`IDLE_CLOSE_TIME`]: no request is in progress, and no response is left to write.
 async fn end_connection<T>(
     mut connection: impl Future<Output = T> + Unpin,
-    own_requests: &AtomicUsize,
+    is_idle: impl Fn() -> bool,
 ) -> Option<T> {
     let mut idle_checks = 0;
     while idle_checks < IDLE_CLOSE_CHECKS {
@@ -134,8 +141,7 @@
         if let Ok(result) = tokio::time::timeout(check_interval, &mut connection).await {
             return Some(result);
         }
-        let is_idle = own_requests.load(Ordering::Relaxed) == 0;
-        idle_checks = if is_idle { idle_checks + 1 } else { 0 };
+        idle_checks = if is_idle() { idle_checks + 1 } else { 0 };
     }
     None
 }
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -8,6 +8,7 @@
 //! `server_limits`, `server_response` and `stream`. `store_reader` and `sync` maintain the node's view of the fleet, and `leadership`
 //! the leases of the failure domains that it leads. `docs/DESIGN.md` explains the design.
 
+mod caller_stream;
 mod callers;
 mod clock;
 mod config_age;
--- a/savoryport/tests/node_requests.rs
+++ b/savoryport/tests/node_requests.rs
@@ -411,3 +411,22 @@
     assert_eq!(request_status("other.example", "/lookup/x", Some("n")), 404);
     assert_eq!(request_status("site.example:80", "/lookup/x", Some("port")), 200);
 }
+
+/// Guards against capacities that do not reach the directories of other nodes.
+#[test]
+fn every_directory_lists_a_stronger_node_several_times() {
+    let mut site = NodeSite::start(3);
+    let strong = &mut site.nodes[2];
+    strong.signal(Signal::TERM);
+    strong.wait_for_exit();
+    strong.set("cpu_share", 4.0.into());
+    strong.start();
+    let strong = site.nodes[2].callers.clone();
+    site.wait_until("the strong node is listed several times", |site| {
+        site.nodes.iter().all(|node| {
+            let addresses = node.addresses();
+            let listed = addresses.iter().filter(|address| **address == strong).count();
+            addresses.first() == Some(&strong) && listed > 1 && addresses.len() == listed + 2
+        })
+    });
+}
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -424,6 +424,11 @@
         self.process = Some(child);
     }
 
+    /// Changes a setting, which holds from the next start.
+    pub fn set(&mut self, setting: &str, value: Value) {
+        self.settings[setting] = value;
+    }
+
     /// Sends the process a signal.
     pub fn signal(&self, signal: Signal) {
         if let Some(process) = &self.process {
