--- a/savoryport/src/node/explain_route.rs
+++ b/savoryport/src/node/explain_route.rs
@@ -218,8 +218,9 @@
             Selection::Limited { retry_after } => {
                 Refusal::with_retry_after(RefusalCause::Limited, retry_after)
             }
-            Selection::Overload { expected_latency, retry_after } => {
-                let refusal = Refusal::with_retry_after(RefusalCause::Overload, retry_after);
+            // The turn that a caller would get is not booked.
+            Selection::Overload { expected_latency, room_in } => {
+                let refusal = Refusal::with_retry_after(RefusalCause::Overload, room_in);
                 let mut decision = refusal_decision(&refusal);
                 decision["expected_ms"] = millis(expected_latency).into();
                 return decision;
