Refuse teams that exceed their share first, and show teams to operators

Cause: where servers are short of capacity, a team within its quota that uses far more of its limit than the others makes all of them late, and operators cannot see what teams use.

Change: team_share compares the recent use of all nodes, relative to the limits, with that of the average of the teams that send requests. The totals of a peer take 32 bytes, since 1,000 teams and 18 peers took 1.57 MB before.

--- a/savoryport/src/node/metrics.rs
+++ b/savoryport/src/node/metrics.rs
@@ -36,6 +36,22 @@
     pub cause: &'static str,
 }
 
+/// Labels of a team.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TeamLabels {
+    /// The team, or `other` beyond the number of teams that have metrics of their own.
+    pub team: String,
+}
+
+/// Labels of a refusal to a team.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TeamCauseLabels {
+    /// The team, or `other` beyond the number of teams that have metrics of their own.
+    pub team: String,
+    /// The name of the cause.
+    pub cause: &'static str,
+}
+
 /// Labels of an order to an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct OrderLabels {
@@ -54,6 +70,16 @@
     pub duration: Family<RankLabels, Histogram, fn() -> Histogram>,
     /// Requests that ended without a server's response.
     pub refusals: Family<CauseLabels, Counter>,
+    /// Units of their quotas that requests of teams used at this node.
+    pub team_units: Family<TeamLabels, Counter>,
+    /// Requests of teams that were within their quotas.
+    pub team_requests: Family<TeamLabels, Counter>,
+    /// Requests of teams that ended without a server's response.
+    pub team_refusals: Family<TeamCauseLabels, Counter>,
+    /// The number of nodes whose use of quotas this node hears of.
+    pub quota_nodes_heard: Gauge,
+    /// The number of nodes that may be there.
+    pub quota_nodes_known: Gauge,
     /// Responses of servers that did not run the request.
     pub not_run: Counter,
     /// Streams that were resumed at another server.
@@ -100,6 +126,11 @@
             requests: Family::default(),
             duration: Family::new_with_constructor(duration_histogram as fn() -> Histogram),
             refusals: Family::default(),
+            team_units: Family::default(),
+            team_requests: Family::default(),
+            team_refusals: Family::default(),
+            quota_nodes_heard: Gauge::default(),
+            quota_nodes_known: Gauge::default(),
             not_run: Counter::default(),
             resumed_streams: Counter::default(),
             cut_events: Counter::default(),
@@ -157,6 +188,31 @@
             self.duration.clone(),
         );
         registry.register("refusals", "Requests without a server's answer", self.refusals.clone());
+        registry.register(
+            "team_units",
+            "Units of quotas that teams used at this node",
+            self.team_units.clone(),
+        );
+        registry.register(
+            "team_requests",
+            "Requests of teams within their quotas",
+            self.team_requests.clone(),
+        );
+        registry.register(
+            "team_refusals",
+            "Requests of teams without a server's answer",
+            self.team_refusals.clone(),
+        );
+        registry.register(
+            "quota_nodes_heard",
+            "Nodes whose use of quotas this node hears of",
+            self.quota_nodes_heard.clone(),
+        );
+        registry.register(
+            "quota_nodes_known",
+            "Nodes that may use quotas",
+            self.quota_nodes_known.clone(),
+        );
         registry.register("not_run", "Refusals by servers", self.not_run.clone());
         registry.register(
             "resumed_streams",
--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -57,7 +57,7 @@
     pub(super) service: Name,
     pub(super) head: RequestHead,
     pub(super) identity: RequestIdentity,
-    /// What the request used of its team's quota, if that has one.
+    /// What the request used of its team's quota, if it has a team.
     pub(super) quota_charge: Option<QuotaCharge>,
     pub(super) prefix_keys: PrefixKeys,
     pub(super) arrived_at: Instant,
@@ -240,6 +240,9 @@
             _ => refusal,
         };
         self.cx.metrics.record_refusal(refusal.cause);
+        if let Some(charge) = &self.quota_charge {
+            charge.record_refusal(refusal.cause);
+        }
         self.log_end(refusal.cause.name(), refusal.cause.status().as_u16(), refusal.retry_after);
         refusal.into_response()
     }
--- a/savoryport/src/node/receive.rs
+++ b/savoryport/src/node/receive.rs
@@ -66,7 +66,9 @@
         refuse_if_stopping(&cx)?;
         let body = body?;
         let quota_charge = match &team {
-            Some(team) => QuotaCharge::take(&cx, &deployment, team, head.generation.as_ref())?,
+            Some(team) => {
+                Some(QuotaCharge::take(&cx, &deployment, team, head.generation.as_ref())?)
+            }
             None => None,
         };
         let identity = identify(caller, &parts, &body);
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -17,6 +17,7 @@
 
 use super::proxy::ProxyRequest;
 use super::response::{Refusal, RefusalCause};
+use super::team_quota::QuotaCharge;
 use super::view::FleetView;
 
 /// The pause between two searches for a server with room for an adapter.
@@ -328,6 +329,8 @@
             queue_time: if has_started { Duration::ZERO } else { now - self.queued_since },
             target_latency: self.route.target_latency,
             time_left: self.remaining_time(),
+            is_over_share: !has_started
+                && self.quota_charge.as_ref().is_some_and(QuotaCharge::is_over_share),
         }
     }
 
--- a/savoryport/src/node/status.rs
+++ b/savoryport/src/node/status.rs
@@ -11,6 +11,7 @@
 use super::domain_controller::DomainController;
 use super::quarantine::{clear_part, format_part};
 use super::request_quarantine::clear_request;
+use super::team_quota::team_status;
 
 /// Returns the node's current view: the configuration, members, leaders and servers, and the
 /// engines of the failure domains that it leads.
@@ -49,6 +50,7 @@
     );
     let crashes = routing.request_quarantine.crash_count();
     drop(routing);
+    let (teams, (heard, known)) = team_status(cx);
     let members: Vec<&str> = view.members.iter().map(|member| &*member.vm).collect();
     json!({
         "vm": cx.settings.vm,
@@ -60,6 +62,9 @@
         "servers": servers,
         "quarantine": quarantine,
         "crashes": crashes,
+        "teams": teams,
+        "quota_nodes_heard": heard,
+        "quota_nodes_known": known,
         "duties": cx
             .controllers
             .all()
--- a/savoryport_core/src/node/admission.rs
+++ b/savoryport_core/src/node/admission.rs
@@ -35,6 +35,9 @@
 /// is uncertain, and a short burst is better served a little late than refused.
 const MAX_QUEUE_SHARE: f64 = 1.25;
 
+/// The longest queue of a team that uses more than its share.
+const OVER_SHARE_QUEUE: f64 = 0.6;
+
 /// Whether a request is served.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum AdmissionDecision {
@@ -65,6 +68,8 @@
     pub target_latency: Duration,
     /// The time until the caller leaves or the route's timeout expires.
     pub time_left: Duration,
+    /// Whether the request's team uses more than its share of the servers.
+    pub is_over_share: bool,
 }
 
 /// Decides whether a request is served; `random` is uniform in 0..1.
@@ -90,8 +95,8 @@
 fn max_useful_wait(input: &AdmissionInput) -> Duration {
     let abandon_limit =
         (input.target_latency * ABANDON_FACTOR).max(MIN_ABANDON_TIME).mul_f64(ABANDON_TIME_SHARE);
-    let queue_limit =
-        input.target_latency.mul_f64(MAX_QUEUE_SHARE).saturating_sub(input.queue_time);
+    let queue_share = if input.is_over_share { OVER_SHARE_QUEUE } else { MAX_QUEUE_SHARE };
+    let queue_limit = input.target_latency.mul_f64(queue_share).saturating_sub(input.queue_time);
     let deadline_limit = input.time_left.mul_f64(FIRST_TOKEN_SHARE);
     deadline_limit.min(abandon_limit.saturating_sub(input.elapsed)).min(queue_limit)
 }
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -29,3 +29,4 @@
 pub mod stop_plan;
 pub mod team;
 pub mod team_quota;
+pub mod team_share;
--- a/savoryport_core/src/node/team_quota.rs
+++ b/savoryport_core/src/node/team_quota.rs
@@ -14,6 +14,7 @@
 
 use crate::Name;
 use crate::node::team::{TeamDirectory, TeamLimit};
+use crate::node::team_share::TeamShares;
 
 /// A node whose last report is older than this counts as one that spends on its own.
 pub const REPORT_LIFETIME: Duration = Duration::from_millis(600);
@@ -101,6 +102,23 @@
     Follower(&'a str),
 }
 
+/// What a node knows of a team, for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TeamState {
+    /// The team.
+    pub name: Name,
+    /// Its limit, over all nodes together.
+    pub limit: Option<TeamLimit>,
+    /// What this node takes to be left of its bucket, in units.
+    pub left: Option<f64>,
+    /// What all nodes recently used, in units a second.
+    pub recent_use: f64,
+    /// That use relative to its limit, divided by that of the average team.
+    pub relative_use: f64,
+    /// Whether this node recently refused some of its requests.
+    pub is_limited: bool,
+}
+
 /// The quotas of all teams, as one node knows their use.
 #[derive(Debug)]
 pub struct TeamQuotas {
@@ -108,6 +126,7 @@
     started_at: Instant,
     teams: Vec<TeamBucket>,
     by_name: HashMap<Name, usize>,
+    shares: TeamShares,
     peers: Vec<PeerState>,
     by_peer: HashMap<Reporter, usize>,
     /// The failure domain of each member, and when it was last seen.
@@ -141,17 +160,44 @@
     reported_at: Instant,
 }
 
-/// What was charged of a peer's use of a team.
-#[derive(Debug, Clone, Copy)]
+/// What a peer reported of a team, and what was charged of it. A leader has one for each team and
+/// follower. Of what was asked for, only the increase matters, so that the numbers may wrap around.
+#[derive(Debug, Clone, Copy, Default)]
 struct PeerTotals {
+    used: i64,
+    charged: i64,
+    asked: u32,
+    charged_asked: u32,
     peer: u32,
-    reported: Totals,
-    charged: Totals,
+}
+
+impl PeerTotals {
+    /// Takes over reported totals and returns the increase.
+    fn advance(&mut self, used: i64, asked: i64) -> Totals {
+        let asked = asked as u32;
+        let increase = Totals {
+            used: used.saturating_sub(self.used),
+            asked: i64::from(asked.wrapping_sub(self.asked).cast_signed()),
+        };
+        (self.used, self.asked) = (used, asked);
+        increase
+    }
+
+    fn charge(&mut self, increase: Totals) {
+        self.charged = self.charged.saturating_add(increase.used);
+        self.charged_asked = self.charged_asked.wrapping_add(increase.asked as u32);
+    }
+
+    fn charged(&self) -> Totals {
+        Totals { used: self.charged, asked: self.charged_asked.into() }
+    }
 }
 
 #[derive(Debug)]
 struct TeamBucket {
     name: Name,
+    /// Whether the configuration names the team.
+    is_configured: bool,
     limit: Option<TeamLimit>,
     level: f64,
     refilled_at: Instant,
@@ -169,6 +215,11 @@
     request_size: f64,
     /// The number of requests in that mean, up to [`SIZE_SAMPLES`].
     size_samples: u8,
+    /// When this node last refused a request of the team.
+    refused_at: Option<Instant>,
+    /// Whether the operators were told that the team is limited, and when.
+    is_limited: bool,
+    limit_logged_at: Option<Instant>,
 }
 
 /// An amount in a second, as an average that forgets exponentially.
@@ -219,6 +270,10 @@
     fn new(name: Name, now: Instant) -> Self {
         Self {
             name,
+            is_configured: false,
+            refused_at: None,
+            is_limited: false,
+            limit_logged_at: None,
             limit: None,
             level: 0.0,
             refilled_at: now,
@@ -280,6 +335,7 @@
             started_at: now,
             teams: Vec::new(),
             by_name: HashMap::new(),
+            shares: TeamShares::default(),
             peers: Vec::new(),
             by_peer: HashMap::new(),
             members: HashMap::new(),
@@ -298,25 +354,76 @@
         self.refresh(now);
         let first_share = self.part / f64::from(self.known.max(1));
         for bucket in &mut self.teams {
-            bucket.limit = None;
+            bucket.is_configured = false;
         }
         for team in directory.into_iter().flat_map(TeamDirectory::teams) {
-            let Some(limit) = team.limit else { continue };
             let id = self.id_of(&team.name, now);
             let bucket = &mut self.teams[id];
-            bucket.limit = Some(limit);
-            if bucket.changed_at == 0 && bucket.refilled_at == now {
+            bucket.is_configured = true;
+            let former = std::mem::replace(&mut bucket.limit, team.limit);
+            if let (None, Some(limit)) = (former, team.limit) {
                 bucket.level = limit.per_second * first_share;
             }
         }
         for bucket in &mut self.teams {
+            bucket.limit = bucket.limit.filter(|_| bucket.is_configured);
             bucket.level = bucket.level.min(bucket.capacity() * self.part);
         }
+        let limits = self.teams.iter().map(|bucket| {
+            bucket.is_configured.then_some(bucket.limit.map(|limit| limit.per_second))
+        });
+        self.shares.set_limits(limits, now);
     }
 
-    /// Returns whether any team has a limit.
-    pub fn has_limits(&self) -> bool {
-        self.teams.iter().any(|bucket| bucket.limit.is_some())
+    /// Returns whether any team is configured.
+    pub fn has_teams(&self) -> bool {
+        self.teams.iter().any(|bucket| bucket.is_configured)
+    }
+
+    /// Returns whether a team is to be refused before others where servers are short of capacity.
+    pub fn is_over_share(&mut self, team: &str, now: Instant) -> bool {
+        self.by_name.get(team).is_some_and(|id| self.shares.is_over_share(*id, now))
+    }
+
+    /// Returns the teams that began or ceased to be limited at this node since the last call, and
+    /// whether they are limited now; each at most once a second.
+    pub fn limit_changes(&mut self, now: Instant) -> Vec<(Name, bool)> {
+        /// A team is limited for this long after its last refusal.
+        const LIMITED_FOR: Duration = Duration::from_secs(1);
+        let is_recent = |at: Option<Instant>| {
+            at.is_some_and(|at| now.saturating_duration_since(at) < LIMITED_FOR)
+        };
+        let changed = self.teams.iter_mut().filter(|bucket| {
+            is_recent(bucket.refused_at) != bucket.is_limited && !is_recent(bucket.limit_logged_at)
+        });
+        changed
+            .map(|bucket| {
+                bucket.is_limited = !bucket.is_limited;
+                bucket.limit_logged_at = Some(now);
+                (bucket.name.clone(), bucket.is_limited)
+            })
+            .collect()
+    }
+
+    /// Returns the state of each configured team, for operators.
+    pub fn team_states(&mut self, now: Instant) -> Vec<TeamState> {
+        self.refresh(now);
+        let (part, shares) = (self.part, &mut self.shares);
+        let configured =
+            self.teams.iter_mut().enumerate().filter(|(_, bucket)| bucket.is_configured);
+        configured
+            .map(|(id, bucket)| {
+                bucket.refill(part, now);
+                TeamState {
+                    name: bucket.name.clone(),
+                    limit: bucket.limit,
+                    left: bucket.limit.map(|_| bucket.level),
+                    recent_use: shares.recent_use(id, now),
+                    relative_use: shares.relative_use(id, now),
+                    is_limited: bucket.is_limited,
+                }
+            })
+            .collect()
     }
 
     /// Takes the units of a request from a team's quota, or returns the time after which the caller
@@ -332,7 +439,7 @@
         now: Instant,
         random: f64,
     ) -> Result<(), Duration> {
-        let Some(id) = self.limited(team) else { return Ok(()) };
+        let Some(id) = self.configured(team) else { return Ok(()) };
         self.refresh(now);
         self.revision += 1;
         let (part, revision) = (self.part, self.revision);
@@ -353,7 +460,9 @@
         let available = bucket.level - others_rate * unreported.as_secs_f64();
         let demand = bucket.certain_part(bucket.asked.at(now));
         let surplus = (available - SETTLING_LEVEL * capacity) / SETTLING_TIME.as_secs_f64();
-        let chance = if units > capacity {
+        let chance = if bucket.limit.is_none() {
+            f64::INFINITY
+        } else if units > capacity {
             if available < capacity * 0.95 { 0.0 } else { capacity / units }
         } else if available < units {
             0.0
@@ -363,8 +472,10 @@
         if random < chance {
             bucket.level -= units;
             bucket.own.add(Totals { used: signed, asked: 0 });
+            self.shares.record(id, units, now);
             return Ok(());
         }
+        bucket.refused_at = Some(now);
         // Where more is asked for than accrues, the refused callers share what does.
         let missing = (units.min(capacity) - available).max(0.0);
         let crowding = (demand - rate).max(0.0) * RATE_WINDOW.as_secs_f64();
@@ -376,7 +487,7 @@
 
     /// Gives back the units of a request that ended without having run.
     pub fn give_back(&mut self, team: &str, units: u64, now: Instant) {
-        let Some(id) = self.limited(team) else { return };
+        let Some(id) = self.configured(team) else { return };
         self.refresh(now);
         self.revision += 1;
         let (part, revision) = (self.part, self.revision);
@@ -404,7 +515,7 @@
             }
             Recipient::Follower(_) => {
                 let own = bucket.peers.iter().find(|known| Some(known.peer as usize) == follower);
-                bucket.all().minus(own.map_or(Totals::default(), |known| known.charged))
+                bucket.all().minus(own.map_or(Totals::default(), PeerTotals::charged))
             }
         };
         let changed = self.teams.iter().filter(|bucket| bucket.changed_at > since);
@@ -439,7 +550,6 @@
         let (peer, is_known, share) = self.peer(reporter, report, reported_at);
         self.last_report_at = self.last_report_at.max(Some(reported_at));
         for TeamUse { team, used, asked } in &report.teams {
-            let reported = Totals { used: *used, asked: *asked };
             let id = self.id_of(team, now);
             self.revision += 1;
             let (part, revision) = (self.part, self.revision);
@@ -447,20 +557,17 @@
             let bucket = &mut self.teams[id];
             let slot = bucket.peers.iter().position(|known| known.peer as usize == peer);
             let slot = slot.unwrap_or_else(|| {
-                let former = if is_known { Totals::default() } else { reported };
-                bucket.peers.push(PeerTotals {
-                    peer: peer as u32,
-                    reported: former,
-                    charged: Totals::default(),
-                });
+                bucket.peers.reserve_exact(1);
+                bucket.peers.push(PeerTotals { peer: peer as u32, ..PeerTotals::default() });
                 bucket.peers.len() - 1
             });
             let known = &mut bucket.peers[slot];
-            // The totals of another tenure are no continuation of those that are known.
-            let former = if is_known { known.reported } else { reported };
-            let increase = reported.minus(former).scaled(share);
-            known.reported = reported;
-            known.charged.add(increase);
+            let mut increase = known.advance(*used, *asked).scaled(share);
+            if !is_known {
+                // The totals of another tenure are no continuation of those that are known.
+                increase = Totals::default();
+            }
+            known.charge(increase);
             match is_follower {
                 true => bucket.followers.add(increase),
                 false => bucket.others.add(increase),
@@ -468,6 +575,7 @@
             bucket.refill(part, now);
             bucket.level = (bucket.level - increase.used as f64).min(bucket.capacity() * part);
             bucket.others_used.add(increase.used.max(0) as f64, now);
+            self.shares.record(id, increase.used.max(0) as f64, now);
             bucket.asked.add(increase.asked.max(0) as f64, now);
             if increase.asked > 0 && bucket.size_samples < SIZE_SAMPLES {
                 bucket.record_size(increase.asked as f64);
@@ -509,7 +617,7 @@
         if !is_same {
             let slots = self.teams.iter_mut().flat_map(|bucket| &mut bucket.peers);
             for slot in slots.filter(|slot| slot.peer as usize == index) {
-                slot.reported = Totals::default();
+                (slot.used, slot.asked) = (0, 0);
             }
         }
         let share = REPORT_LIFETIME.as_secs_f64() / gap.max(REPORT_LIFETIME).as_secs_f64();
@@ -549,23 +657,21 @@
         self.update_part(now);
     }
 
+    /// Returns about how many bytes the state of the teams takes.
+    pub fn heap_bytes(&self) -> usize {
+        let per_team = size_of::<TeamBucket>() + 2 * size_of::<(Name, usize)>();
+        let totals = self.teams.iter().map(|bucket| bucket.peers.capacity());
+        self.teams.capacity() * per_team + totals.sum::<usize>() * size_of::<PeerTotals>()
+    }
+
     /// Returns the number of nodes that this node hears of, and the number that may be there.
     pub fn coverage(&self, now: Instant) -> (u32, u32) {
         (self.heard(now), self.known)
     }
 
-    /// Returns what is left of a team's quota, as this node knows it.
-    pub fn level(&mut self, team: &str, now: Instant) -> Option<f64> {
-        let id = self.limited(team)?;
-        self.refresh(now);
-        let part = self.part;
-        self.teams[id].refill(part, now);
-        Some(self.teams[id].level)
-    }
-
-    fn limited(&self, team: &str) -> Option<usize> {
+    fn configured(&self, team: &str) -> Option<usize> {
         let id = *self.by_name.get(team)?;
-        self.teams[id].limit.is_some().then_some(id)
+        self.teams[id].is_configured.then_some(id)
     }
 
     fn id_of(&mut self, team: &Name, now: Instant) -> usize {
--- a/savoryport_core/tests/node_decisions.rs
+++ b/savoryport_core/tests/node_decisions.rs
@@ -257,6 +257,7 @@
         queue_time: Duration::ZERO,
         target_latency: ms(800),
         time_left: ms(5_000),
+        is_over_share: false,
     };
     assert_matches!(decide_admission(&input(200), 0.5), AdmissionDecision::Admit { priority: 6 });
     assert_matches!(decide_admission(&input(900), 0.5), AdmissionDecision::Admit { priority: 8 });
@@ -277,6 +278,7 @@
             queue_time: Duration::ZERO,
             target_latency: ms(800),
             time_left: ms(5_000),
+            is_over_share: false,
         };
         if matches!(decide_admission(&input, 0.5), AdmissionDecision::Admit { .. }) {
             free_at = start + 240;
@@ -302,6 +304,7 @@
         queue_time: Duration::ZERO,
         target_latency: ms(1_500),
         time_left: ms(11_000),
+        is_over_share: false,
     };
     assert_matches!(decide_admission(&input, 0.5), AdmissionDecision::Admit { .. });
     let queued = AdmissionInput { queue_time: ms(1_800), ..input };
@@ -317,6 +320,7 @@
         queue_time: Duration::ZERO,
         target_latency: ms(800),
         time_left: ms(5_000),
+        is_over_share: false,
     };
     assert!(decide_admission(&input, 0.1) != decide_admission(&input, 0.9));
 }
@@ -331,6 +335,7 @@
             queue_time: Duration::ZERO,
             target_latency: ms(800),
             time_left: ms(5_000),
+            is_over_share: false,
         };
         match decide_admission(&input, 0.0) {
             AdmissionDecision::Admit { priority } => priority,
--- a/savoryport_core/tests/server_limits.rs
+++ b/savoryport_core/tests/server_limits.rs
@@ -189,6 +189,7 @@
             queue_time: ms(elapsed),
             target_latency: ms(800),
             time_left: ms(5_000),
+            is_over_share: false,
         };
         spare_wait(&input)
     };
--- a/savoryport_core/tests/team_quota.rs
+++ b/savoryport_core/tests/team_quota.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use savoryport_core::Name;
 use savoryport_core::node::team::{QuotaUnit, Team, TeamDirectory, TeamEntry, TeamLimit};
-use savoryport_core::node::team_quota::{Recipient, Reporter, TeamQuotas, TeamUseReport};
+use savoryport_core::node::team_quota::{Recipient, Reporter, TeamQuotas, TeamUse, TeamUseReport};
 
 const NODES: usize = 100;
 const DOMAINS: usize = 6;
@@ -478,6 +478,63 @@
     }
 }
 
+/// Returns a node that hears of 18 others, each of which used something of 1,000 teams.
+fn node_with_many_teams(now: Instant) -> TeamQuotas {
+    let mut quotas = TeamQuotas::new(1, now);
+    quotas.apply_limits(Some(&directory(&[50_000.0; 1_000])), now);
+    let names: Vec<Name> = (0..18).map(|index| format!("vm-{index}").into()).collect();
+    let members = names.iter().map(|name| (name, name));
+    let now = now + Duration::from_secs(2);
+    quotas.set_members(members, &[], 1, true, now);
+    for (index, name) in names.into_iter().enumerate() {
+        let teams = (0..1_000).map(|team| TeamUse {
+            team: format!("team-{team}").into(),
+            used: 10,
+            asked: 12,
+        });
+        let report = TeamUseReport {
+            tenure: index as u64,
+            heard: 1,
+            is_full: true,
+            teams: teams.collect(),
+            ..TeamUseReport::default()
+        };
+        quotas.record(&Reporter::Follower(name), &report, now, now);
+    }
+    quotas
+}
+
+/// Prints the times of the decision and the size of the totals with 1,000 teams. Times depend on the
+/// machine, so they are only asserted loosely.
+#[test]
+#[ignore = "measures times, by hand"]
+fn measure_try_take_with_many_teams() {
+    let start = Instant::now();
+    let mut quotas = node_with_many_teams(start);
+    let names: Vec<String> = (0..1_000).map(|team| format!("team-{team}")).collect();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut times = Vec::new();
+    for step in 0..1_000_000_u64 {
+        let now = start + Duration::from_secs(2) + Duration::from_micros(step * 3);
+        let team = &names[rng.random_range(0..names.len())];
+        let random = rng.random();
+        let began = Instant::now();
+        let _ = std::hint::black_box(quotas.try_take(team, 1_000, now, random));
+        let _ = std::hint::black_box(quotas.is_over_share(team, now));
+        times.push(began.elapsed());
+    }
+    times.sort_unstable();
+    let at = |share: f64| times[(times.len() as f64 * share) as usize];
+    println!("median {:?}, p99 {:?}, p99.9 {:?}", at(0.5), at(0.99), at(0.999));
+    println!("state of 1,000 teams: {} bytes", quotas.heap_bytes());
+    assert!(at(0.99) < Duration::from_micros(20));
+}
+
+#[test]
+fn the_state_of_a_thousand_teams_takes_less_than_a_megabyte() {
+    assert!(node_with_many_teams(Instant::now()).heap_bytes() < 1_000_000);
+}
+
 #[test]
 fn a_request_that_did_not_run_gives_its_tokens_back() {
     let start = Instant::now();
