Test quotas of teams with node processes, and refuse requests that take hours

Cause: one request with a huge token count, admitted by chance and charged whole, would use up its team's limit for hours. A follower that is cut off from its leader would forget the other nodes of its own domain after 8 s and spend the whole limit.

Change: a request larger than a bucket and 8 s of the rate is refused.

--- a/savoryport/src/node/team_quota.rs
+++ b/savoryport/src/node/team_quota.rs
@@ -147,9 +147,13 @@
     let in_domain = view.members.iter().filter(|member| member.failure_domain == *domain).count();
     let expected = in_domain * cx.settings.failure_domains.len().max(1);
     let leads = cx.controllers.leads_any();
-    let is_silent =
-        |domain: &&Name| view.members.iter().all(|member| member.failure_domain != **domain);
-    let silent: Vec<Name> = view.leaders.keys().filter(is_silent).cloned().collect();
+    let own = &cx.settings.vm;
+    let is_heard = |domain: &Name| {
+        view.members.iter().any(|member| member.failure_domain == *domain && member.vm != *own)
+    };
+    let silent =
+        view.leaders.iter().filter(|(domain, leader)| leader.vm != *own && !is_heard(domain));
+    let silent: Vec<Name> = silent.map(|(domain, _)| domain.clone()).collect();
     let mut state = lock(cx);
     state.apply(deployment, now);
     let members = view.members.iter().map(|member| (&member.vm, &member.failure_domain));
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -61,6 +61,8 @@
     pub plain_services: Vec<&'static str>,
     /// The timeout of all routes in the next configuration, in milliseconds.
     pub route_timeout_ms: f64,
+    /// The teams of the next configuration; null if requests need no keys.
+    pub teams: Value,
     /// The failure domain of the nodes and servers that are started next.
     pub failure_domain: &'static str,
     /// All failure domains.
@@ -114,6 +116,7 @@
             models: MODELS.to_vec(),
             plain_services: Vec::new(),
             route_timeout_ms: 4_000.0,
+            teams: Value::Null,
             failure_domain: failure_domains[0],
             failure_domains: failure_domains.to_vec(),
             starts: 0,
@@ -198,6 +201,9 @@
                 "name": service, "healthPath": "/health", "connectionLimit": 100,
             }));
         }
+        if !self.teams.is_null() {
+            config["tenants"] = self.teams.clone();
+        }
         self.store.write("op/config", &config);
     }
 
@@ -558,6 +564,17 @@
     receive(request.send("draft"))
 }
 
+/// Sends an idempotent request with the key of a team to the node at `address`.
+pub fn send_with_key(address: &str, id: &str, key: &str) -> CallerResponse {
+    let request = caller_agent()
+        .get(format!("http://{address}/lookup/{id}"))
+        .header("Host", "site.example")
+        .header("X-Attempt-Id", id)
+        .header("X-Deadline-Ms", "4000")
+        .header("Authorization", format!("Token {key}"));
+    receive(request.call())
+}
+
 /// Posts a request with this path and body to the node at `address`.
 pub fn post(address: &str, id: &str, path: &str, body: &str) -> CallerResponse {
     let request = caller_agent()
--- a/savoryport_core/src/node/team_quota.rs
+++ b/savoryport_core/src/node/team_quota.rs
@@ -44,6 +44,9 @@
 /// A limit without a burst still lets a node spend what accrues in this time at once.
 const MIN_BURST: Duration = Duration::from_millis(250);
 
+/// The longest time in which one request may use up what accrues.
+const MAX_DEBT: Duration = Duration::from_secs(8);
+
 /// Before this many requests, the size of a request is learned from the reports of other nodes too.
 /// These sum up several requests of a large team, but mostly name single ones of a small team.
 const SIZE_SAMPLES: u8 = 5;
@@ -311,6 +314,13 @@
         self.limit.map_or(0.0, |limit| limit.burst.max(limit.per_second * MIN_BURST.as_secs_f64()))
     }
 
+    /// Returns the largest request that is ever admitted. It would take longer than the operators'
+    /// window to make a larger one good.
+    fn longest_debt(&self) -> f64 {
+        let rate = self.limit.map_or(0.0, |limit| limit.per_second);
+        self.capacity() + rate * MAX_DEBT.as_secs_f64()
+    }
+
     /// Adds what accrued since the last call, while this node could spend `part` of the limit.
     fn refill(&mut self, part: f64, now: Instant) {
         let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
@@ -462,6 +472,8 @@
         let surplus = (available - SETTLING_LEVEL * capacity) / SETTLING_TIME.as_secs_f64();
         let chance = if bucket.limit.is_none() {
             f64::INFINITY
+        } else if units > bucket.longest_debt() {
+            0.0
         } else if units > capacity {
             if available < capacity * 0.95 { 0.0 } else { capacity / units }
         } else if available < units {
--- a/savoryport_core/tests/team_quota.rs
+++ b/savoryport_core/tests/team_quota.rs
@@ -550,6 +550,14 @@
     let report = quotas.report(Recipient::OwnLeader, 0, now);
     assert_eq!((report.teams[0].used, report.teams[0].asked), (0, 1_800));
     assert_eq!(quotas.try_take("team-0", 900, now, 0.0), Ok(()));
+    // A request that would use up the limit for hours is refused, however little it takes.
+    let later = now + Duration::from_secs(9);
+    assert!(quotas.try_take("team-0", u64::from(u32::MAX), later, 0.0).is_err());
+    // A request larger than the bucket is admitted at times, and charged whole.
+    let later = later + Duration::from_secs(9);
+    assert!(quotas.try_take("team-0", 4_000, later, 0.3).is_err());
+    assert_eq!(quotas.try_take("team-0", 4_000, later, 0.2), Ok(()));
+    assert!(quotas.try_take("team-0", 1, later + Duration::from_secs(2), 0.0).is_err());
     // Teams without a limit are not refused.
     assert_eq!(quotas.try_take("unknown", u64::MAX, now, 0.9), Ok(()));
 }
