--- a/savoryport/src/node/status.rs
+++ b/savoryport/src/node/status.rs
@@ -13,6 +13,7 @@
 use super::explain_route::explain_route;
 use super::quarantine::{clear_part, format_part};
 use super::request_quarantine::clear_request;
+use super::team_quota::team_status;
 
 /// Returns the node's current view: the configuration, members, leaders and servers, and the
 /// engines of the failure domains that it leads.
@@ -52,6 +53,7 @@
     );
     let crashes = routing.request_quarantine.crash_count();
     drop(routing);
+    let (teams, (heard, known)) = team_status(cx);
     let members: Vec<&str> = view.members.iter().map(|member| &*member.vm).collect();
     json!({
         "vm": cx.settings.vm,
@@ -63,6 +65,9 @@
         "servers": servers,
         "quarantine": quarantine,
         "crashes": crashes,
+        "teams": teams,
+        "quota_nodes_heard": heard,
+        "quota_nodes_known": known,
         "duties": cx
             .controllers
             .all()
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -64,8 +64,8 @@
     pub plain_services: Vec<&'static str>,
     /// The timeout of all routes in the next configuration, in milliseconds.
     pub route_timeout_ms: f64,
-    /// The teams of the next configuration, each with its keys. `None` leaves them out.
-    pub teams: Option<Vec<(&'static str, Vec<&'static str>)>>,
+    /// The teams of the next configuration; null if requests need no keys.
+    pub teams: Value,
     /// The failure domain of the nodes and servers that are started next.
     pub failure_domain: &'static str,
     /// All failure domains.
@@ -119,7 +119,7 @@
             models: MODELS.to_vec(),
             plain_services: Vec::new(),
             route_timeout_ms: 4_000.0,
-            teams: None,
+            teams: Value::Null,
             failure_domain: failure_domains[0],
             failure_domains: failure_domains.to_vec(),
             starts: 0,
@@ -204,9 +204,8 @@
                 "name": service, "healthPath": "/health", "connectionLimit": 100,
             }));
         }
-        if let Some(teams) = &self.teams {
-            let teams = teams.iter().map(|(name, keys)| json!({ "name": name, "apiKeys": keys }));
-            config["tenants"] = teams.collect();
+        if !self.teams.is_null() {
+            config["tenants"] = self.teams.clone();
             let mut public = route("open", "/open/", "idempotent", "orders");
             public["public"] = true.into();
             config["routes"].as_array_mut().expect("a list of routes").push(public);
@@ -602,6 +601,11 @@
     receive(headers.iter().fold(request, add).call())
 }
 
+/// Sends an idempotent request with the key of a team to the node at `address`.
+pub fn send_with_key(address: &str, id: &str, key: &str) -> CallerResponse {
+    send_with_headers(address, id, "lookup", &[("Authorization", &format!("Token {key}"))])
+}
+
 /// Posts a request with this path and body to the node at `address`.
 pub fn post(address: &str, id: &str, path: &str, body: &str) -> CallerResponse {
     let request = caller_agent()
--- a/savoryport/tests/node_teams.rs
+++ b/savoryport/tests/node_teams.rs
@@ -43,7 +43,10 @@
 
 /// Writes a configuration in which these are the keys of the team.
 fn set_keys(site: &mut NodeSite, keys: &[&'static str]) {
-    site.teams = Some(vec![("ada", keys.to_vec()), ("bob", vec!["bob-s3cret"])]);
+    site.teams = json!([
+        { "name": "ada", "apiKeys": keys },
+        { "name": "bob", "apiKeys": ["bob-s3cret"] },
+    ]);
     site.write_config();
 }
 
--- a/savoryport_core/tests/returns.rs
+++ b/savoryport_core/tests/returns.rs
@@ -45,6 +45,7 @@
             let (now, node) = (start + ms(at), &mut nodes[rng.random_range(0..NODES)]);
             let queue = (free_at_ms - at as f64).max(0.0);
             let input = AdmissionInput {
+                is_over_share: false,
                 rank: 0,
                 expected_latency: ms(queue as u64 + 100),
                 elapsed: Duration::ZERO,
