Confirm keys only between nodes with the newest version, and show how old the knowledge is

A follower with a newer configuration than its leader took the leader's word for its age, though the leader had read an older copy of the store. Both need the newest version that is known now. The status page shows config_age_ms, by which operators tell a node that is cut off from one that waits for others.

--- a/savoryport/src/node/status.rs
+++ b/savoryport/src/node/status.rs
@@ -7,6 +7,7 @@
 use savoryport_core::node::server_limit::RequestRate;
 use serde_json::{Value, json};
 
+use super::config_age::config_age_report;
 use super::context::NodeContext;
 use super::domain_controller::DomainController;
 use super::quarantine::{clear_part, format_part};
@@ -54,6 +55,7 @@
         "vm": cx.settings.vm,
         "failure_domain": cx.settings.failure_domain,
         "config": view.version(),
+        "config_age_ms": config_age_report(cx).map(|report| report.age_ms),
         "store_answers": cx.store_health.is_available(cx.now()),
         "members": members,
         "holders": view.leaders,
--- a/savoryport/tests/node_teams.rs
+++ b/savoryport/tests/node_teams.rs
@@ -405,6 +405,26 @@
     }
 }
 
+/// Guards against a failure domain whose only node restarts with a restored store, while just the leader
+/// of another failure domain knows better.
+#[test]
+fn a_restarted_failure_domain_learns_of_withdrawn_keys_from_another() {
+    let mut site = start(&["east-a", "east-b"], 1);
+    let copy = site.store.copy();
+    set_keys(&mut site, &[KEPT]);
+    let withdrawn_at = Instant::now();
+    wait_for_recovery(&site);
+    site.store.restore(&copy);
+    kill(&mut site, 1);
+    let passed = withdrawn_at.elapsed();
+    std::thread::sleep(Duration::from_millis(KEY_WITHDRAWAL_MS).saturating_sub(passed));
+    site.nodes[1].start();
+    check_withdrawn(&site, withdrawn_at, Duration::from_secs(6));
+    wait_for_recovery(&site);
+    let age = &site.nodes[1].status_json()["config_age_ms"];
+    assert!(age.as_u64().is_some_and(|age| age < KEY_WITHDRAWAL_MS), "{age}");
+}
+
 /// Guards against a restored store that is never trusted again once all nodes that know better are
 /// gone.
 #[test]
--- a/savoryport_core/src/node/config_age.rs
+++ b/savoryport_core/src/node/config_age.rs
@@ -88,8 +88,8 @@
     }
 
     /// Takes over what another node knows, which was asked at `asked_at`, has the version
-    /// `their_version` and reports its age. It tells nothing of an older version that this node still
-    /// has.
+    /// `their_version` and reports its age. It tells nothing if either node lacks the newest version
+    /// that is known.
     pub fn confirm_by_peer(
         &mut self,
         own_version: u64,
@@ -98,7 +98,9 @@
         asked_at: Instant,
     ) {
         self.record_caller(own_version, their_version, report.and_then(|report| report.era));
-        let Some(report) = report.filter(|_| own_version >= self.newest_version) else { return };
+        let newest = self.newest_version.max(own_version);
+        let both_newest = own_version >= newest && their_version >= newest;
+        let Some(report) = report.filter(|_| both_newest) else { return };
         if let Some(current_at) = asked_at.checked_sub(Duration::from_millis(report.age_ms)) {
             self.confirm(current_at);
         }
--- a/savoryport_core/tests/config_age.rs
+++ b/savoryport_core/tests/config_age.rs
@@ -66,7 +66,11 @@
     assert_eq!(age.age(start), None);
     age.confirm_by_peer(4, 4, report(1, Some(1)), start);
     assert!(age.allows_keys(LIMIT, start));
-    // A leader that does not know itself confirms nothing.
+    // A leader that lacks this node's version confirms nothing either.
+    let mut age = ConfigAge::default();
+    age.confirm_by_peer(5, 4, report(1, Some(1)), start);
+    assert_eq!(age.age(start), None);
+    // Nor does a leader that does not know itself.
     let mut age = ConfigAge::default();
     age.confirm_by_peer(4, 4, None, start);
     assert_eq!(age.age(start), None);
