Admit small requests of a team first when little of its quota is left

In a flood of one team a node admitted requests by chance whatever their size, so that long prompts used up what would have served many short requests. What is left now goes to small requests first.

--- a/savoryport_core/src/node/team_quota.rs
+++ b/savoryport_core/src/node/team_quota.rs
@@ -43,7 +43,7 @@
 
 /// The share of a bucket above which every request is admitted. Requests that were asked for, but
 /// refused for other reasons, use nothing, and must not make a team with units left wait.
-const FREE_LEVEL: f64 = 0.5;
+const FREE_LEVEL: f64 = 0.35;
 
 /// A limit without a burst still lets a node spend what accrues in this time at once.
 const MIN_BURST: Duration = Duration::from_millis(250);
@@ -494,7 +494,9 @@
         } else if available >= FREE_LEVEL * capacity {
             1.0
         } else {
-            (rate + surplus) / demand.max(1e-9)
+            // Of what is left, small requests serve more callers than large ones.
+            let advantage = (bucket.request_size / units.max(1.0)).max(1.0);
+            (rate + surplus) / demand.max(1e-9) * advantage
         };
         if random < chance {
             bucket.level -= units;
