Let buckets go on after a short pause of reports as if there had been none

Cause: a node that missed reports for 600 ms cut its buckets to its part and began almost empty when they came back, so that teams below their limits were refused for seconds.

Change: for pauses of up to 3 s a bucket also keeps the level of the whole system, charges all that the others report afterwards, and goes on from it. After a longer pause, or with a leader of another tenure, it goes on from its part as before.

Not yet run with node processes.

--- a/savoryport_bench/src/team_quota.rs
+++ b/savoryport_bench/src/team_quota.rs
@@ -19,7 +19,7 @@
 /// The number of requests.
 const REQUESTS: u64 = 1_000_000;
 
-/// The time between two requests. Together they stay below the limits.
+/// The time between two requests. Reports age meanwhile, so that part of the requests is refused.
 const PERIOD: Duration = Duration::from_micros(25);
 
 /// Prints the times and the memory for the teams.
--- a/savoryport_core/src/node/team_quota.rs
+++ b/savoryport_core/src/node/team_quota.rs
@@ -44,6 +44,15 @@
 /// A limit without a burst still lets a node spend what accrues in this time at once.
 const MIN_BURST: Duration = Duration::from_millis(250);
 
+/// A node that hears of less than this share of the nodes that it heard of is in a pause of reports.
+const PAUSE_PART: f64 = 0.5;
+
+/// The pause is over once it hears of this share of them again.
+const REGAINED_PART: f64 = 0.9;
+
+/// After a longer pause, a bucket goes on from what the node's part left in it.
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+
 /// The longest time in which one request may use up what accrues.
 const MAX_DEBT: Duration = Duration::from_secs(8);
 
@@ -210,6 +219,8 @@
     is_configured: bool,
     limit: Option<TeamLimit>,
     level: f64,
+    /// What would be left without a pause of reports, in which this node spends its part only.
+    whole: Option<WholeLevel>,
     refilled_at: Instant,
     /// This node's own use.
     own: Totals,
@@ -232,6 +243,16 @@
     limit_logged_at: Option<Instant>,
 }
 
+/// The level of a bucket that refills for the whole system during a pause of reports. It is not
+/// capped, since the use of the others in the pause becomes known only at its end.
+#[derive(Debug, Clone, Copy)]
+struct WholeLevel {
+    level: f64,
+    /// The part that this node spent before the pause.
+    part: f64,
+    since: Instant,
+}
+
 /// An amount in a second, as an average that forgets exponentially.
 #[derive(Debug, Clone, Copy)]
 struct Rate {
@@ -286,6 +307,7 @@
             limit_logged_at: None,
             limit: None,
             level: 0.0,
+            whole: None,
             refilled_at: now,
             own: Totals::default(),
             followers: Totals::default(),
@@ -335,6 +357,37 @@
         self.refilled_at = self.refilled_at.max(now);
         let rate = self.limit.map_or(0.0, |limit| limit.per_second);
         self.level = (self.level + rate * part * elapsed).min(self.capacity() * part);
+        if let Some(whole) = &mut self.whole {
+            whole.level += rate * whole.part * elapsed;
+        }
+    }
+
+    /// Takes units from the bucket, or gives back less than none.
+    fn charge(&mut self, units: f64) {
+        self.level -= units;
+        if let Some(whole) = &mut self.whole {
+            whole.level -= units;
+        }
+    }
+
+    /// Changes the part that this node may spend. After a short pause of reports, the bucket is what
+    /// it would be without the pause.
+    fn set_part(&mut self, former: f64, part: f64, now: Instant) {
+        self.refill(part.min(former), now);
+        match self.whole {
+            None if part < former * PAUSE_PART => {
+                self.whole = Some(WholeLevel { level: self.level, part: former, since: now });
+            }
+            Some(whole) if now.saturating_duration_since(whole.since) > LONGEST_PAUSE => {
+                self.whole = None;
+            }
+            Some(whole) if part >= whole.part * REGAINED_PART => {
+                self.whole = None;
+                self.level = whole.level.min(self.capacity() * part);
+            }
+            _ => {}
+        }
+        self.level = self.level.min(self.capacity() * part);
     }
 
     fn all(&self) -> Totals {
@@ -491,7 +544,7 @@
             (rate + surplus) / demand.max(1e-9)
         };
         if random < chance {
-            bucket.level -= units;
+            bucket.charge(units);
             bucket.own.add(Totals { used: signed, asked: 0 });
             self.shares.record(id, units, now);
             return Ok(());
@@ -515,7 +568,8 @@
         let bucket = &mut self.teams[id];
         bucket.refill(part, now);
         bucket.changed_at = revision;
-        bucket.level = (bucket.level + units as f64).min(bucket.capacity() * part);
+        bucket.charge(-(units as f64));
+        bucket.level = bucket.level.min(bucket.capacity() * part);
         let signed = i64::try_from(units).unwrap_or(i64::MAX);
         bucket.own = bucket.own.minus(Totals { used: signed, asked: 0 });
     }
@@ -570,6 +624,12 @@
         self.refresh(now);
         let (peer, is_known, share) = self.peer(reporter, report, reported_at);
         self.last_report_at = self.last_report_at.max(Some(reported_at));
+        if !is_known {
+            // What was used in the pause stays unknown.
+            for bucket in &mut self.teams {
+                bucket.whole = None;
+            }
+        }
         self.has_followed |= self.peers[peer].is_own_leader && report.heard > 0;
         for TeamUse { team, used, asked } in &report.teams {
             let id = self.id_of(team, now);
@@ -595,7 +655,8 @@
                 false => bucket.others.add(increase),
             }
             bucket.refill(part, now);
-            bucket.level = (bucket.level - increase.used as f64).min(bucket.capacity() * part);
+            bucket.charge(increase.used as f64);
+            bucket.level = bucket.level.min(bucket.capacity() * part);
             bucket.others_used.add(increase.used.max(0) as f64, now);
             self.shares.record(id, increase.used.max(0) as f64, now);
             bucket.asked.add(increase.asked.max(0) as f64, now);
@@ -608,7 +669,7 @@
     }
 
     /// Returns the place of a peer, whether its totals continue known ones, and the share of their
-    /// increase that is charged: after a pause, only that of the time in which this node still
+    /// increase that is charged: after a long pause, only that of the time in which this node still
     /// refilled its buckets for both. In the rest of the pause each spent its own part.
     fn peer(
         &mut self,
@@ -642,7 +703,10 @@
                 (slot.used, slot.asked) = (0, 0);
             }
         }
-        let share = REPORT_LIFETIME.as_secs_f64() / gap.max(REPORT_LIFETIME).as_secs_f64();
+        let share = match gap > LONGEST_PAUSE {
+            true => REPORT_LIFETIME.as_secs_f64() / gap.as_secs_f64(),
+            false => 1.0,
+        };
         (index, is_known, share)
     }
 
@@ -759,9 +823,8 @@
         if part.to_bits() == self.part.to_bits() {
             return;
         }
-        let smaller = part.min(self.part);
         for bucket in &mut self.teams {
-            bucket.refill(smaller, now);
+            bucket.set_part(self.part, part, now);
         }
         self.part = part;
     }
