Test untrusted clients and servers against a node's memory and descriptors

Clients outside our control ended a node by bodies that never ended. This adds the tests before the product changes. Each starts a node process with `memory_mb` 64, `file_descriptors` 512 and a body limit of 1 MiB, and 200 clients (400 where connections are short). The bounds are these settings: the peak resident set stays below `memory_mb`, the open descriptors below `file_descriptors`. An ordinary POST and GET are each answered with 200 within 20 tries, while the clients still hold their connections.

--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -61,6 +61,10 @@
     pub plain_services: Vec<&'static str>,
     /// The timeout of all routes in the next configuration, in milliseconds.
     pub route_timeout_ms: f64,
+    /// The largest body of a request in the next configuration, in bytes.
+    pub max_body_bytes: usize,
+    /// Settings of the nodes that are started next, which replace those of all sites.
+    node_settings: Value,
     /// The failure domain of the nodes and servers that are started next.
     pub failure_domain: &'static str,
     /// All failure domains.
@@ -103,6 +107,16 @@
 
     /// Starts `nodes` nodes in each of these failure domains. The servers are in the first one.
     pub fn start_in_domains(failure_domains: &[&'static str], nodes: usize) -> Self {
+        Self::start_with_settings(failure_domains, nodes, json!({}))
+    }
+
+    /// Starts `nodes` nodes with these settings in each of these failure domains. The servers are in
+    /// the first one.
+    pub fn start_with_settings(
+        failure_domains: &[&'static str],
+        nodes: usize,
+        node_settings: Value,
+    ) -> Self {
         let dir = TempDir::new().expect("a temporary directory");
         let store = MetadataStandin::start("127.0.0.1:0");
         let mut site = Self {
@@ -114,6 +128,8 @@
             models: MODELS.to_vec(),
             plain_services: Vec::new(),
             route_timeout_ms: 4_000.0,
+            max_body_bytes: 100_000,
+            node_settings,
             failure_domain: failure_domains[0],
             failure_domains: failure_domains.to_vec(),
             starts: 0,
@@ -183,7 +199,7 @@
                   } },
             ],
             "limits": {
-                "maxHeaderBytes": 16_384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3_000,
+                "maxHeaderBytes": 16_384, "maxBodyBytes": self.max_body_bytes, "headerTimeoutMs": 3_000,
                 "idleTimeoutMs": 15_000,
             },
         });
@@ -305,7 +321,7 @@
         };
         let domains: HashMap<_, _> =
             self.failure_domains.iter().map(|domain| (domain, "east")).collect();
-        let settings = json!({
+        let mut settings = json!({
             "vm": name, "failure_domain": self.failure_domain, "region": "east",
             "failure_domains": domains,
             "callers_listen": callers, "directory_listen": directory,
@@ -316,6 +332,9 @@
             "store_poll_ms": 100, "store_timeout_ms": 400, "stop_within_s": 5.0,
             "retry_extra": 60.0, "log_level": "info",
         });
+        for (key, value) in self.node_settings.as_object().into_iter().flatten() {
+            settings[key] = value.clone();
+        }
         let file = self._dir.path().join(format!("{name}.json"));
         let mut node = SiteNode {
             name: name.to_owned(),
@@ -477,6 +496,11 @@
         servers.find(|server| server["server"] == id).cloned().unwrap_or_default()
     }
 
+    /// Returns the address of the readiness check.
+    pub fn readiness_address(&self) -> String {
+        self.settings["readiness_listen"].as_str().expect("a setting").to_owned()
+    }
+
     /// Returns the address for calls of other nodes.
     pub fn peers_address(&self) -> String {
         self.own_address("peers_port")
@@ -501,6 +525,12 @@
         peak_kb.expect("the kernel reports the peak") / 1024
     }
 
+    /// Returns the number of descriptors that the process has open.
+    pub fn open_descriptors(&self) -> usize {
+        let id = self.process.as_ref().expect("the process runs").id();
+        std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count)
+    }
+
     /// Sends a caller's request to this node.
     pub fn send(&self, id: &str, kind: RequestKind) -> CallerResponse {
         send_request(&self.callers, id, kind)
