Bound what callers' bodies, heads and connections take of a node

Bodies were collected without a bound on their sum: 200 clients with bodies of 1 MiB took a node of 64 MB to 221 to 288 MB, chunks of one byte to 151 MB. Connections without a request kept others out until the idle timeout, and the directory, readiness, metrics and peers listeners had no bound.

`caller_memory` reserves the announced length of a body before it is read, and that of a chunked one as it arrives. When the memory is used up a body waits unread, then the largest body without progress gives way (503, `body-stalled`), then the new one is refused (503, `no-memory`). `caller_connections` lets the connection give way that has served least when a listener has too many, bounds the bytes of incomplete heads, and closes heads that take longer than `headerTimeoutMs`. Connections whose other side reads nothing for `caller_unread_ms` are closed; those with an answer to send do not give way. Idle connections to servers are bounded over all servers. Messages of nodes have to be complete in 4 s.

--- a/savoryport/src/lib.rs
+++ b/savoryport/src/lib.rs
@@ -4,6 +4,7 @@
 //! the decisions out. `docs/DESIGN.md` explains why there are two daemons.
 
 pub mod cli;
+pub mod connection_limit;
 pub mod control;
 pub mod daemon;
 pub mod entry;
--- a/savoryport/src/metrics_server.rs
+++ b/savoryport/src/metrics_server.rs
@@ -18,15 +18,30 @@
 use prometheus_client::registry::Registry;
 use serde_json::Value;
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use crate::connection_limit::{Closings, ConnectionLimits, Connections, LimitedStream};
+
 /// The delay before the next attempt after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// How long a client may take to send the head of a request.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The number of connections, beyond which idle ones give way. Operators and their monitoring need a
+/// few.
+const MAX_CONNECTIONS: usize = 32;
+
+/// The bytes of incomplete heads of all connections.
+const MAX_HEAD_BYTES: usize = 256 * 1024;
+
+/// The maximum size of one head, and of what is read ahead.
+const MAX_BUFFER_BYTES: usize = 16 * 1024;
+
+/// The time after which a connection is closed whose other side reads nothing.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// The content type of the metrics.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0";
 
@@ -45,6 +60,7 @@
     registry: Registry,
     status: S,
     command: C,
+    closings: Closings,
 }
 
 /// Serves `/metrics`, `/healthz` and `/status` over HTTP until the token is cancelled.
@@ -61,11 +77,12 @@
     status: impl Fn() -> Value + Send + Sync + 'static,
     cancel: CancellationToken,
 ) -> Result<(), MetricsServerError> {
-    serve_metrics_and_commands(address, registry, status, |_| None, cancel)
+    serve_metrics_and_commands(address, registry, status, |_| None, Closings::default(), cancel)
 }
 
 /// Serves the pages of [`serve_metrics`], and operators' commands: `command` gets the path of a
 /// POST request, and returns the response body, or `None` if there is no such command.
+/// `closings` counts the connections that are closed because there are too many.
 ///
 /// # Errors
 ///
@@ -75,11 +92,12 @@
     registry: Registry,
     status: impl Fn() -> Value + Send + Sync + 'static,
     command: impl Fn(&str) -> Option<Value> + Send + Sync + 'static,
+    closings: Closings,
     cancel: CancellationToken,
 ) -> Result<(), MetricsServerError> {
     let listener =
         listen(address).map_err(|err| MetricsServerError { address: address.to_owned(), err })?;
-    let pages = Arc::new(Pages { registry, status, command });
+    let pages = Arc::new(Pages { registry, status, command, closings });
     tokio::spawn(cancel.clone().run_until_cancelled_owned(accept(listener, pages, cancel)));
     Ok(())
 }
@@ -95,9 +113,17 @@
     S: Fn() -> Value + Send + Sync + 'static,
     C: Fn(&str) -> Option<Value> + Send + Sync + 'static,
 {
+    let limits = ConnectionLimits {
+        listener: "metrics",
+        connections: MAX_CONNECTIONS,
+        head_bytes: MAX_HEAD_BYTES,
+        unread: UNREAD_TIMEOUT,
+    };
+    let connections = Connections::new(limits, pages.closings.clone());
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, address)) => {
+                let Some(stream) = connections.admit(stream, address.ip()).await else { continue };
                 let serving = serve_connection(stream, pages.clone());
                 tokio::spawn(cancel.clone().run_until_cancelled_owned(serving));
             }
@@ -109,22 +135,27 @@
     }
 }
 
-async fn serve_connection<S, C>(stream: TcpStream, pages: Arc<Pages<S, C>>)
+async fn serve_connection<S, C>(stream: LimitedStream, pages: Arc<Pages<S, C>>)
 where
     S: Fn() -> Value + Send + Sync + 'static,
     C: Fn(&str) -> Option<Value> + Send + Sync + 'static,
 {
+    let handle = stream.handle();
     let service = service_fn(|req: Request<Incoming>| {
-        let pages = pages.clone();
+        let (pages, in_progress) = (pages.clone(), handle.begin_request());
         // Large pages take their time, which requests of callers must not wait for.
         let responding = tokio::task::spawn_blocking(move || pages.respond(&req));
-        async move { Ok::<_, Infallible>(responding.await.unwrap_or_else(|_| server_error())) }
+        async move {
+            let _in_progress = in_progress;
+            Ok::<_, Infallible>(responding.await.unwrap_or_else(|_| server_error()))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT)
+        .max_buf_size(MAX_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(err) = connection.await {
+    if let Some(Err(err)) = handle.closed.run_until_cancelled(connection).await {
         log::debug!(err:% = err; "connection for metrics failed");
     }
 }
--- a/savoryport/src/node/callers.rs
+++ b/savoryport/src/node/callers.rs
@@ -4,21 +4,22 @@
 use std::net::{IpAddr, SocketAddr};
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
 use super::NodeError;
 use super::context::NodeContext;
 use super::proxy;
 use super::response::Body;
+use crate::connection_limit::{LimitedStream, RequestInProgress};
 
 /// Timeout for receiving a request's headers and for an idle connection, before a configuration is
 /// known.
@@ -33,9 +34,8 @@
 /// The delay after accepting a connection failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// The share of the file descriptors that callers' connections may use; the others are for
-/// connections to servers, nodes and the store.
-const CALLER_DESCRIPTOR_SHARE: f64 = 0.5;
+/// The interval between two checks of callers' connections.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Binds a listener to an address.
 ///
@@ -46,51 +46,62 @@
     TcpListener::bind(address).await.map_err(|err| NodeError::Listen { address, err })
 }
 
-/// Accepts callers' connections until [`NodeContext::connection_shutdown`] is cancelled. A
-/// connection beyond the limit is dropped.
+/// Accepts callers' connections until [`NodeContext::connection_shutdown`] is cancelled. If there are
+/// too many, one without a request gives way; without such a one the new connection is dropped.
 pub async fn accept(cx: Arc<NodeContext>, listener: TcpListener) {
-    let open_connections = Arc::new(AtomicUsize::new(0));
-    let max_connections = (cx.settings.file_descriptors as f64 * CALLER_DESCRIPTOR_SHARE) as usize;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = cx.connection_shutdown.cancelled() => return,
         };
-        let stream = match accepted {
-            Ok((stream, _)) if open_connections.load(Ordering::Relaxed) < max_connections => stream,
-            Ok(_) => continue,
+        let (stream, caller) = match accepted {
+            Ok((stream, address)) => (stream, address.ip()),
             Err(err) => {
                 log::warn!(err:% = err; "cannot accept a connection");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        open_connections.fetch_add(1, Ordering::Relaxed);
-        let (cx, open_connections) = (cx.clone(), open_connections.clone());
+        if let Err(err) = stream.set_nodelay(true) {
+            log::debug!(err:% = err; "cannot set TCP_NODELAY");
+        }
+        let Some(stream) = cx.caller_connections.admit(stream, caller).await else { continue };
+        let cx = cx.clone();
         let caller_tasks = cx.caller_tasks.clone();
-        caller_tasks.spawn(async move {
-            serve_connection(&cx, stream).await;
-            open_connections.fetch_sub(1, Ordering::Relaxed);
-        });
+        caller_tasks.spawn(async move { serve_connection(&cx, stream, caller).await });
     }
 }
 
-async fn serve_connection(cx: &Arc<NodeContext>, stream: TcpStream) {
-    if let Err(err) = stream.set_nodelay(true) {
-        log::debug!(err:% = err; "cannot set TCP_NODELAY");
+/// Closes callers' connections whose heads take too long, and updates the gauges.
+pub async fn watch(cx: Arc<NodeContext>) {
+    loop {
+        tokio::time::sleep(WATCH_INTERVAL).await;
+        if let Some(deployment) = cx.fleet.view().deployment() {
+            cx.caller_connections.close_overdue(deployment.limits.header_timeout);
+        }
+        let metrics = &cx.metrics;
+        let (connections, head_bytes) = cx.caller_connections.usage();
+        let (body_bytes, waiting) = cx.caller_memory.usage();
+        metrics.caller_connections.set(connections as i64);
+        metrics.caller_head_bytes.set(head_bytes as i64);
+        metrics.caller_body_bytes.set(body_bytes as i64);
+        metrics.caller_waiting_bodies.set(waiting as i64);
+        metrics.response_bytes.set(cx.response_memory.used() as i64);
+        metrics.pooled_connections.set(cx.request_pool.idle_count() as i64);
     }
+}
+
+async fn serve_connection(cx: &Arc<NodeContext>, stream: LimitedStream, caller: IpAddr) {
     let limits = cx.fleet.view().deployment().map(|deployment| deployment.limits);
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let max_header_bytes = limits
         .map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes.max(MIN_BUFFER_BYTES));
-    let caller = match stream.peer_addr() {
-        Ok(address) => address.ip(),
-        Err(err) => {
-            log::debug!(err:% = err; "caller's connection failed");
-            return;
-        }
-    };
-    let service = service_fn(|req| respond(cx.clone(), caller, req));
+    let handle = stream.handle();
+    let service = service_fn(|req| {
+        let in_progress = handle.begin_request();
+        let response = respond(cx.clone(), caller, req);
+        async { response.await.map(|response| hold_until_sent(response, in_progress)) }
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
@@ -103,12 +114,24 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        () = handle.closed.cancelled() => return,
     };
     if let Err(err) = result {
         log::debug!(err:% = err; "caller's connection failed");
     }
 }
 
+/// Keeps a connection from giving way until its answer is handed over to be sent.
+fn hold_until_sent(response: Response<Body>, in_progress: RequestInProgress) -> Response<Body> {
+    response.map(|body| {
+        body.map_frame(move |frame| {
+            let _ = &in_progress;
+            frame
+        })
+        .boxed()
+    })
+}
+
 async fn respond(
     cx: Arc<NodeContext>,
     caller: IpAddr,
--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -21,12 +21,14 @@
 use super::metrics::NodeMetrics;
 use super::peer_connections::PeerConnections;
 use super::peer_server::PeerReports;
+use super::request_body::SharedCallerMemory;
 use super::response_body::SharedResponseMemory;
 use super::routing_state::SharedRoutingState;
 use super::rpc::CopyUse;
 use super::settings::NodeSettings;
 use super::store_reader::StoreHealth;
 use super::view::Member;
+use crate::connection_limit::Connections;
 
 /// The state shared by all tasks of a node.
 pub struct NodeContext {
@@ -78,6 +80,10 @@
     pub caller_tasks: TaskTracker,
     /// The memory for servers' responses that are read to their end before they are forwarded.
     pub response_memory: SharedResponseMemory,
+    /// The memory for callers' bodies.
+    pub caller_memory: SharedCallerMemory,
+    /// Callers' connections.
+    pub caller_connections: Connections,
     /// The part of the nodes that callers are sent to.
     pub entry_subset: Mutex<EntrySubset>,
     /// The random number generator, seeded from the VM's name and the start time.
--- a/savoryport/src/node/directory.rs
+++ b/savoryport/src/node/directory.rs
@@ -23,6 +23,7 @@
 
 use super::context::NodeContext;
 use super::view::{FleetView, Member};
+use crate::connection_limit::{ConnectionLimits, Connections};
 
 /// How long callers may cache the addresses. A stopping node still serves for longer than that.
 const ADDRESS_TTL: Duration = Duration::from_secs(1);
@@ -33,31 +34,51 @@
 /// Timeout for receiving the headers of a request.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The bytes of incomplete heads of all connections to a listener.
+const MAX_HEAD_BYTES: usize = 1024 * 1024;
+
+/// The maximum size of one head, and of what is read ahead.
+const MAX_BUFFER_BYTES: usize = 16 * 1024;
+
+/// The time after which a connection is closed whose other side reads nothing.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The delay after accepting a connection failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves both the directory and the readiness check on one listener until the process ends.
-pub async fn accept(cx: Arc<NodeContext>, listener: TcpListener) {
+pub async fn accept(cx: Arc<NodeContext>, listener: TcpListener, name: &'static str) {
+    let limits = ConnectionLimits {
+        listener: name,
+        connections: cx.settings.max_other_connections(),
+        head_bytes: MAX_HEAD_BYTES,
+        unread: UNREAD_TIMEOUT,
+    };
+    let connections = Connections::new(limits, cx.metrics.closed_connections.clone());
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, caller) = match listener.accept().await {
+            Ok((stream, address)) => (stream, address.ip()),
             Err(err) => {
                 log::warn!(err:% = err; "cannot accept a connection");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
+        let Some(stream) = connections.admit(stream, caller).await else { continue };
         let cx = cx.clone();
         tokio::spawn(async move {
+            let handle = stream.handle();
             let service = service_fn(|req| {
+                let _in_progress = handle.begin_request();
                 let response = respond(&cx, &req);
                 async move { Ok::<_, Infallible>(response) }
             });
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEADER_READ_TIMEOUT)
+                .max_buf_size(MAX_BUFFER_BYTES)
                 .serve_connection(TokioIo::new(stream), service);
-            if let Err(err) = connection.await {
+            if let Some(Err(err)) = handle.closed.run_until_cancelled(connection).await {
                 log::debug!(err:% = err; "directory connection failed");
             }
         });
--- a/savoryport/src/node/metrics.rs
+++ b/savoryport/src/node/metrics.rs
@@ -12,6 +12,7 @@
 use savoryport_core::node::orders::OrderAnswer;
 
 use super::response::RefusalCause;
+use crate::connection_limit::Closings;
 
 /// Labels of an ended request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -78,6 +79,20 @@
     pub quarantined_parts: Gauge,
     /// Requests in quarantine.
     pub quarantined_requests: Gauge,
+    /// The memory reserved for callers' bodies, in bytes.
+    pub caller_body_bytes: Gauge,
+    /// Callers' bodies that wait for memory.
+    pub caller_waiting_bodies: Gauge,
+    /// Incomplete heads of callers' requests, in bytes.
+    pub caller_head_bytes: Gauge,
+    /// Callers' connections.
+    pub caller_connections: Gauge,
+    /// The memory of servers' responses that are read to their end, in bytes.
+    pub response_bytes: Gauge,
+    /// Idle connections to servers.
+    pub pooled_connections: Gauge,
+    /// Connections that the node closed.
+    pub closed_connections: Closings,
     /// Orders sent to engines.
     pub orders: Family<OrderLabels, Counter>,
     /// Moves of models that the planner decided on.
@@ -112,6 +127,13 @@
             denied_permits: Counter::default(),
             quarantined_parts: Gauge::default(),
             quarantined_requests: Gauge::default(),
+            caller_body_bytes: Gauge::default(),
+            caller_waiting_bodies: Gauge::default(),
+            caller_head_bytes: Gauge::default(),
+            caller_connections: Gauge::default(),
+            response_bytes: Gauge::default(),
+            pooled_connections: Gauge::default(),
+            closed_connections: Closings::default(),
             orders: Family::default(),
             model_moves: Counter::default(),
             engine_reports: Counter::default(),
@@ -213,6 +235,21 @@
             "Requests in quarantine",
             self.quarantined_requests.clone(),
         );
+        for (name, help, gauge) in [
+            ("caller_body_bytes", "Memory of callers' bodies", &self.caller_body_bytes),
+            ("caller_waiting_bodies", "Bodies that wait for memory", &self.caller_waiting_bodies),
+            ("caller_head_bytes", "Incomplete heads", &self.caller_head_bytes),
+            ("caller_connections", "Callers' connections", &self.caller_connections),
+            ("response_bytes", "Memory of servers' responses", &self.response_bytes),
+            ("pooled_connections", "Idle connections to servers", &self.pooled_connections),
+        ] {
+            registry.register(name, help, gauge.clone());
+        }
+        registry.register(
+            "closed_connections",
+            "Connections that the node closed",
+            self.closed_connections.clone(),
+        );
         registry.register("orders", "Orders to engines", self.orders.clone());
         registry.register("model_moves", "Moves of models decided", self.model_moves.clone());
         registry.register(
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -22,6 +22,7 @@
 pub mod fleet;
 mod in_flight;
 mod leadership;
+mod message_stream;
 mod metrics;
 mod model_requests;
 mod peer_connections;
@@ -31,6 +32,7 @@
 mod proxy;
 mod quarantine;
 mod receive;
+mod request_body;
 mod request_quarantine;
 mod response;
 mod response_body;
@@ -72,15 +74,13 @@
 use self::metrics::NodeMetrics;
 use self::peer_connections::PeerConnections;
 use self::peer_server::PeerReports;
+use self::request_body::SharedCallerMemory;
 use self::response_body::SharedResponseMemory;
 use self::routing_state::SharedRoutingState;
 use self::settings::NodeSettings;
 use self::store_reader::StoreHealth;
 use self::view::Member;
-
-/// The part of the process's memory, as a divisor, that servers' responses may take up while they
-/// are read. They are small, except for those of servers in trouble.
-const RESPONSE_MEMORY_PART: u64 = 8;
+use crate::connection_limit::{ConnectionLimits, Connections};
 
 /// The number of nodes that are assumed to share the retry budget before any other node is known.
 const ASSUMED_NODES: usize = 16;
@@ -120,6 +120,7 @@
         cx.metrics.registry(),
         status,
         command,
+        cx.metrics.closed_connections.clone(),
         cx.connection_shutdown.clone(),
     );
     if let Err(err) = served {
@@ -130,9 +131,10 @@
     tokio::spawn(sync::follow(cx.clone(), read_store_tx));
     tokio::spawn(exchange::exchange(cx.clone()));
     tokio::spawn(crash_archive::run(cx.clone()));
-    tokio::spawn(directory::accept(cx.clone(), directory));
-    tokio::spawn(directory::accept(cx.clone(), readiness));
+    tokio::spawn(directory::accept(cx.clone(), directory, "directory"));
+    tokio::spawn(directory::accept(cx.clone(), readiness, "readiness"));
     tokio::spawn(callers::accept(cx.clone(), callers));
+    tokio::spawn(callers::watch(cx.clone()));
     let leadership_task = tokio::spawn(leadership::run(cx.clone()));
     log::info!(vm = &*cx.settings.vm, domain = &*cx.settings.failure_domain; "started");
     cx.stopping.cancelled().await;
@@ -174,15 +176,24 @@
     let retry_bound = RetryBound { ratio: settings.retry_ratio, extra: settings.retry_extra };
     let store_timeout = Duration::from_millis(settings.store_timeout_ms);
     let clock = Arc::new(SystemClock);
+    let (metrics, memory) = (NodeMetrics::default(), settings.memory_shares());
     NodeContext {
-        response_memory: SharedResponseMemory::new(
-            (settings.memory_mb * 1024 * 1024 / RESPONSE_MEMORY_PART) as usize,
+        response_memory: SharedResponseMemory::new(memory.responses),
+        caller_memory: SharedCallerMemory::new(settings.caller_memory_limits()),
+        caller_connections: Connections::new(
+            ConnectionLimits {
+                listener: "callers",
+                connections: settings.max_caller_connections(),
+                head_bytes: memory.heads,
+                unread: Duration::from_millis(settings.caller_unread_ms),
+            },
+            metrics.closed_connections.clone(),
         ),
         entry_subset: Mutex::new(EntrySubset::new(clock.now())),
         clock,
         lease_clock: Arc::new(BootClock::new()),
         store: StoreClient::new(settings.store.clone(), store_timeout),
-        request_pool: Pool::default(),
+        request_pool: Pool::with_max_idle(settings.max_pooled_connections()),
         order_pool: Pool::default(),
         fleet: Fleet::new(member.clone()),
         routing: SharedRoutingState::new(retry_bound, ASSUMED_NODES, settings.selection_costs()),
@@ -195,7 +206,7 @@
         crash_archive: Mutex::default(),
         crash_seen: Notify::new(),
         config_age: Mutex::default(),
-        metrics: NodeMetrics::default(),
+        metrics,
         stopping,
         stop_plan: OnceLock::new(),
         answer_now: CancellationToken::new(),
--- a/savoryport/src/node/peer_server.rs
+++ b/savoryport/src/node/peer_server.rs
@@ -15,10 +15,12 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
+use tokio_util::codec::LengthDelimitedCodec;
 
 use super::NodeError;
 use super::config_age::config_age_ms;
 use super::context::NodeContext;
+use super::message_stream::MessageStream;
 use super::prompt_log::PromptLog;
 use super::quarantine::{crash_exchange, merge_crashes};
 use super::request_quarantine::{merge_request_crashes, request_crashes_since};
@@ -27,6 +29,16 @@
     SyncRequest,
 };
 use super::server_limits::{decide_permit, limits_since, merge_limits};
+use crate::connection_limit::{ConnectionLimits, Connections};
+
+/// The time in which a message of another node must be complete. Calls end earlier.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// The time after which a connection is closed whose other side reads nothing.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The delay after accepting a connection failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// How long a report of another node is used.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
@@ -317,16 +329,45 @@
 /// Returns an error if the address cannot be listened on.
 pub async fn start(cx: &Arc<NodeContext>) -> Result<(), NodeError> {
     let address = cx.settings.peers_listen();
-    let listening = tarpc::serde_transport::tcp::listen(address, Bincode::default).await;
-    let mut listener = listening.map_err(|err| NodeError::Listen { address, err })?;
-    listener.config_mut().max_frame_length(MAX_MESSAGE_BYTES);
+    let listener = super::callers::listen(address).await?;
     let server = PeerServer { cx: cx.clone() };
+    let limits = ConnectionLimits {
+        listener: "peers",
+        connections: cx.settings.max_other_connections(),
+        // A message of the largest size beside those of the other nodes.
+        head_bytes: MAX_MESSAGE_BYTES * 2,
+        unread: UNREAD_TIMEOUT,
+    };
+    let connections = Connections::new(limits, cx.metrics.closed_connections.clone());
+    tokio::spawn(watch(connections.clone()));
     tokio::spawn(async move {
-        while let Some(connection) = listener.next().await {
-            let Ok(transport) = connection else { continue };
+        loop {
+            let (stream, address) = match listener.accept().await {
+                Ok((stream, address)) => (stream, address.ip()),
+                Err(err) => {
+                    log::warn!(err:% = err; "cannot accept a connection of a node");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            let Some(stream) = connections.admit(stream, address).await else { continue };
+            let handle = stream.handle();
+            let framed = LengthDelimitedCodec::builder()
+                .max_frame_length(MAX_MESSAGE_BYTES)
+                .new_framed(MessageStream::new(stream));
+            let transport = tarpc::serde_transport::new(framed, Bincode::default());
             let requests = BaseChannel::with_defaults(transport).execute(server.clone().serve());
-            tokio::spawn(requests.for_each_concurrent(None, |response| response));
+            let serving = requests.for_each_concurrent(None, |response| response);
+            tokio::spawn(async move { handle.closed.run_until_cancelled(serving).await });
         }
     });
     Ok(())
 }
+
+/// Closes the connections of nodes whose messages stay incomplete.
+async fn watch(connections: Connections) {
+    loop {
+        tokio::time::sleep(MESSAGE_TIMEOUT / 4).await;
+        connections.close_overdue(MESSAGE_TIMEOUT);
+    }
+}
--- a/savoryport/src/node/receive.rs
+++ b/savoryport/src/node/receive.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
-use hyper::header::HOST;
+use hyper::header::{EXPECT, HOST};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request};
 use savoryport_adapter::callers::{
@@ -21,6 +21,7 @@
 use super::config_age::confirms_keys;
 use super::context::NodeContext;
 use super::proxy::ProxyRequest;
+use super::request_body::Unread;
 use super::response::{Refusal, RefusalCause};
 
 impl ProxyRequest {
@@ -38,7 +39,7 @@
             .deployment()
             .cloned()
             .ok_or(Refusal::with_retry_after(RefusalCause::NoConfig, retry_after))?;
-        let (parts, body) = req.into_parts();
+        let (parts, mut body) = req.into_parts();
         let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
         let mut route = find_route(&deployment, host, parts.uri.path())?.clone();
         let team = find_team(&cx, &deployment, &route, &parts.headers);
@@ -61,9 +62,18 @@
         let timeout = head.deadline.unwrap_or(route.timeout);
         let deadline = arrived_at + timeout.min(route.timeout);
         let time_left = cx.time_until(deadline);
-        let body = read_body(body, &deployment, time_left).await;
+        let read = read_body(&cx, &mut body, caller, &deployment, time_left).await;
         refuse_if_stopping(&cx)?;
-        let body = body?;
+        let body = match read {
+            Ok(read) => read,
+            Err(refusal) => {
+                if refusal.cause != RefusalCause::BodyMissing && !parts.headers.contains_key(EXPECT)
+                {
+                    skip_body(body, deployment.limits.max_body_bytes).await;
+                }
+                return Err(refusal);
+            }
+        };
         let identity = identify(caller, &parts, &body);
         let mut headers = parts.headers;
         strip_headers(&mut headers);
@@ -171,17 +181,40 @@
     RequestIdentity { content: hash_content(&content), caller }
 }
 
+/// Drops the rest of a body that is refused, so that the caller gets the refusal: a connection that is
+/// closed with unread bytes is reset.
+async fn skip_body(mut body: Incoming, max_bytes: usize) {
+    /// The time for the rest of the body to arrive.
+    const TIMEOUT: Duration = Duration::from_millis(500);
+    let skip = async {
+        let mut skipped = 0;
+        while skipped < max_bytes {
+            match body.frame().await {
+                Some(Ok(frame)) => skipped += frame.data_ref().map_or(0, Bytes::len),
+                Some(Err(_)) | None => return,
+            }
+        }
+    };
+    let _ = tokio::time::timeout(TIMEOUT, skip).await;
+}
+
 async fn read_body(
-    body: Incoming,
+    cx: &NodeContext,
+    body: &mut Incoming,
+    caller: IpAddr,
     deployment: &Deployment,
     timeout: Duration,
 ) -> Result<Bytes, Refusal> {
-    let limited = Limited::new(body, deployment.limits.max_body_bytes);
-    match tokio::time::timeout(timeout, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => {
-            Err(Refusal::new(RefusalCause::BodyTooLong))
-        }
-        Ok(Err(_)) | Err(_) => Err(Refusal::new(RefusalCause::BodyMissing)),
+    /// The time after which memory may be free again.
+    const RETRY_AFTER: Duration = Duration::from_millis(500);
+    let no_memory =
+        |cause| Refusal::with_retry_after(cause, retry_after(RETRY_AFTER, cx.random_unit()));
+    let read = cx.caller_memory.read(body, caller, deployment.limits.max_body_bytes);
+    match tokio::time::timeout(timeout, read).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(Unread::TooLong)) => Err(Refusal::new(RefusalCause::BodyTooLong)),
+        Ok(Err(Unread::NoMemory)) => Err(no_memory(RefusalCause::NoMemory)),
+        Ok(Err(Unread::GaveWay)) => Err(no_memory(RefusalCause::BodyStalled)),
+        Ok(Err(Unread::Incomplete)) | Err(_) => Err(Refusal::new(RefusalCause::BodyMissing)),
     }
 }
--- a/savoryport/src/node/response.rs
+++ b/savoryport/src/node/response.rs
@@ -39,6 +39,10 @@
     BodyTooLong,
     /// The request body was not received, or not in time.
     BodyMissing,
+    /// There is no memory for the request body.
+    NoMemory,
+    /// The request body made no progress while others waited for memory.
+    BodyStalled,
     /// No server of the service can take the request now.
     NoServer,
     /// No server has the model loaded, and none will have it in time.
@@ -74,6 +78,8 @@
             Self::BadHead => "bad-head",
             Self::BodyTooLong => "body-too-long",
             Self::BodyMissing => "body-missing",
+            Self::NoMemory => "no-memory",
+            Self::BodyStalled => "body-stalled",
             Self::NoServer => "no-server",
             Self::NoModel => "no-model",
             Self::NoAdapter => "no-adapter",
@@ -94,6 +100,8 @@
         match self {
             Self::NoConfig
             | Self::KeysUnconfirmed
+            | Self::NoMemory
+            | Self::BodyStalled
             | Self::NoServer
             | Self::NoModel
             | Self::NoAdapter
--- a/savoryport/src/node/response_body.rs
+++ b/savoryport/src/node/response_body.rs
@@ -57,6 +57,11 @@
         abandoned.run_until_cancelled(read).await?.ok()?
     }
 
+    /// Returns the number of bytes in use.
+    pub fn used(&self) -> usize {
+        self.lock().memory.used()
+    }
+
     fn reserve(&self) -> Reservation {
         let abandoned = CancellationToken::new();
         let mut state = self.lock();
--- a/savoryport/src/node/settings.rs
+++ b/savoryport/src/node/settings.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use savoryport_core::Name;
+use savoryport_core::node::caller_memory::CallerMemoryLimits;
 use savoryport_core::node::selection::SelectionCosts;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -97,6 +98,31 @@
     /// milliseconds. A node that may not have heard of it refuses requests with keys. 0 or absent
     /// turns this off. Default 0.
     pub key_withdrawal_ms: u64,
+    /// The part of `memory_mb` that is not given to bodies, heads and responses, in MB. At least a
+    /// quarter of the memory is given to them. Default 40.
+    pub caller_process_mb: u64,
+    /// The memory for callers' bodies, in MB; 0 for a share of what `caller_process_mb` leaves.
+    /// Default 0.
+    pub caller_body_mb: u64,
+    /// The size up to which a body is small, in bytes. An eighth of the memory for bodies is kept
+    /// for small ones. Default 16,384.
+    pub caller_small_body_bytes: usize,
+    /// The number of larger bodies that may wait for memory at once. Default 64.
+    pub caller_waiting_bodies: usize,
+    /// How long a body waits for memory before it is refused, in milliseconds. Default 2,000.
+    pub caller_wait_ms: u64,
+    /// The time after which a body without progress gives way while others wait, in milliseconds.
+    /// Default 1,000.
+    pub caller_stall_ms: u64,
+    /// The pace below which a body makes no progress, in bytes a second. Default 1,024.
+    pub caller_min_bytes_per_s: usize,
+    /// The share of the memory for bodies that one address may use while it is short. Default 0.75.
+    pub caller_address_share: f64,
+    /// The time after which a caller's connection is closed that reads nothing of its answer, in
+    /// milliseconds. Default 10,000.
+    pub caller_unread_ms: u64,
+    /// The share of `file_descriptors` for callers' connections. Default 0.5.
+    pub caller_descriptor_share: f64,
     /// The log level: `error`, `warn`, `info` or `debug`. Default `info`.
     pub log_level: String,
 }
@@ -139,11 +165,32 @@
             other_region_ms: 90.0,
             new_connection_ms: 8.0,
             key_withdrawal_ms: 0,
+            caller_process_mb: 40,
+            caller_body_mb: 0,
+            caller_small_body_bytes: 16_384,
+            caller_waiting_bodies: 64,
+            caller_wait_ms: 2_000,
+            caller_stall_ms: 1_000,
+            caller_min_bytes_per_s: 1_024,
+            caller_address_share: 0.75,
+            caller_unread_ms: 10_000,
+            caller_descriptor_share: 0.5,
             log_level: "info".to_owned(),
         }
     }
 }
 
+/// The division of the process's memory, in bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemoryShares {
+    /// For servers' responses that are read to their end.
+    pub responses: usize,
+    /// For callers' bodies.
+    pub bodies: usize,
+    /// For incomplete heads.
+    pub heads: usize,
+}
+
 /// An error that makes the settings unusable.
 #[derive(Debug, Error)]
 pub enum NodeSettingsError {
@@ -244,6 +291,17 @@
         check("load_window_s", self.load_window_s > 0.0, "more than 0");
         check("retry_ratio", self.retry_ratio >= 0.0, "0 or more");
         check("retry_extra", self.retry_extra >= 0.0, "0 or more");
+        check("memory_mb", (1..=1_048_576).contains(&self.memory_mb), "1 to 1,048,576");
+        check("caller_body_mb", self.caller_body_mb <= self.memory_mb, "memory_mb or less");
+        check("caller_small_body_bytes", self.caller_small_body_bytes > 0, "more than 0");
+        check("caller_wait_ms", self.caller_wait_ms <= 60_000, "60,000 or less");
+        check("caller_stall_ms", (100..=60_000).contains(&self.caller_stall_ms), "100 to 60,000");
+        check("caller_min_bytes_per_s", self.caller_min_bytes_per_s > 0, "more than 0");
+        let is_share = |share: f64| share > 0.0 && share <= 1.0;
+        check("caller_address_share", is_share(self.caller_address_share), "above 0, at most 1");
+        check("caller_unread_ms", self.caller_unread_ms >= 100, "100 or more");
+        let is_descriptor_share = is_share(self.caller_descriptor_share * 1.25);
+        check("caller_descriptor_share", is_descriptor_share, "above 0, at most 0.8");
         let levels = ["error", "warn", "info", "debug"];
         check("log_level", levels.contains(&&*self.log_level), "error, warn, info or debug");
         problems
@@ -254,6 +312,61 @@
         SocketAddr::new(self.ip_address, self.peers_port)
     }
 
+    /// Returns the division of the process's memory.
+    pub fn memory_shares(&self) -> MemoryShares {
+        /// The part of the process's memory, as a divisor, that servers' responses may take up while
+        /// they are read. They are small, except for those of servers in trouble.
+        const RESPONSE_PART: u64 = 8;
+        const MB: u64 = 1024 * 1024;
+        let total = self.memory_mb * MB;
+        let process = self.caller_process_mb.saturating_mul(MB);
+        let shared = total.saturating_sub(process).max(total / 4);
+        let responses = total / RESPONSE_PART;
+        let rest = shared.saturating_sub(responses);
+        let bodies = match self.caller_body_mb {
+            0 => rest * 5 / 8,
+            body_mb => body_mb * MB,
+        };
+        // What is left is for streams and the buffers of connections.
+        MemoryShares {
+            responses: responses as usize,
+            bodies: bodies as usize,
+            heads: (rest / 8) as usize,
+        }
+    }
+
+    /// Returns the bounds on callers' bodies.
+    pub fn caller_memory_limits(&self) -> CallerMemoryLimits {
+        let limit = self.memory_shares().bodies;
+        let stall = Duration::from_millis(self.caller_stall_ms);
+        CallerMemoryLimits {
+            limit,
+            small_reserve: limit / 8,
+            small_body: self.caller_small_body_bytes,
+            address_share: self.caller_address_share,
+            max_waiting: self.caller_waiting_bodies,
+            max_wait: Duration::from_millis(self.caller_wait_ms),
+            stall,
+            stall_bytes: (self.caller_min_bytes_per_s as f64 * stall.as_secs_f64()).ceil() as usize,
+        }
+    }
+
+    /// Returns the number of connections that callers may have.
+    pub fn max_caller_connections(&self) -> usize {
+        (self.file_descriptors as f64 * self.caller_descriptor_share) as usize
+    }
+
+    /// Returns the number of connections that each of the directory, the readiness check and the
+    /// listener for other nodes may have.
+    pub fn max_other_connections(&self) -> usize {
+        (self.file_descriptors as usize / 16).max(16)
+    }
+
+    /// Returns the number of idle connections to servers that are kept.
+    pub fn max_pooled_connections(&self) -> usize {
+        (self.file_descriptors as usize / 4).max(16)
+    }
+
     /// Returns whether a failure domain is in the region of this VM.
     pub fn is_in_own_region(&self, failure_domain: &str) -> bool {
         self.region_of(failure_domain) == Some(&self.region)
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -5,6 +5,8 @@
 
 pub mod admission;
 mod answered;
+pub mod caller_connections;
+pub mod caller_memory;
 pub mod config_age;
 pub mod crash_archive;
 pub mod deployment;
--- a/savoryport_platform/src/connection.rs
+++ b/savoryport_platform/src/connection.rs
@@ -88,12 +88,24 @@
 }
 
 /// A pool of idle connections, by server address. Clones share the connections.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Pool {
     idle: Arc<Mutex<HashMap<Name, Vec<IdleConnection>>>>,
+    max_idle: usize,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self::with_max_idle(usize::MAX)
+    }
 }
 
 impl Pool {
+    /// Creates a pool that keeps so many idle connections, over all servers.
+    pub fn with_max_idle(max_idle: usize) -> Self {
+        Self { idle: Arc::default(), max_idle }
+    }
+
     /// Returns an idle connection if `may_reuse` is set and there is one, and otherwise a new one.
     ///
     /// A request that must not run twice should use a new connection: the server may close an idle
@@ -168,6 +180,15 @@
                 .and_then(|time| idle_since.checked_add(time.saturating_sub(CLOSE_MARGIN)));
             connections.push(IdleConnection { connection, idle_since, expires_at });
         }
+        if idle.values().map(Vec::len).sum::<usize>() > self.max_idle {
+            close_longest_idle(&mut idle);
+        }
+    }
+
+    /// Returns the number of idle connections.
+    pub fn idle_count(&self) -> usize {
+        let idle = self.idle.lock().expect("no thread panics while holding the lock");
+        idle.values().map(Vec::len).sum()
     }
 
     /// Returns whether an open connection to the address has been idle for less than `max_idle`.
@@ -197,6 +218,21 @@
     }
 }
 
+/// Closes the connection that has been idle for longest.
+fn close_longest_idle(idle: &mut HashMap<Name, Vec<IdleConnection>>) {
+    // Those of one server are in the order in which they became idle.
+    let longest = idle
+        .iter()
+        .filter_map(|(address, connections)| Some((connections.first()?.idle_since, address)))
+        .min_by_key(|(since, _)| *since);
+    if let Some((_, address)) = longest {
+        let address = address.clone();
+        if let Some(connections) = idle.get_mut(&address) {
+            connections.remove(0);
+        }
+    }
+}
+
 impl IdleConnection {
     fn is_reusable(&self, max_idle: Duration, now: Instant) -> bool {
         self.connection.sender.is_ready()
