--- a/savoryport/src/connection_limit.rs
+++ b/savoryport/src/connection_limit.rs
@@ -246,3 +246,61 @@
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::net::TcpListener;
+
+    use super::*;
+
+    const LIMITS: ConnectionLimits = ConnectionLimits {
+        listener: "test",
+        connections: 2,
+        head_bytes: 1024,
+        unread: Duration::from_millis(50),
+    };
+
+    /// Guards against answers that are held for a caller that never reads them.
+    #[tokio::test]
+    async fn a_write_that_nobody_reads_fails() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let _silent = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let (stream, address) = listener.accept().await.unwrap();
+        let closings = Closings::default();
+        let connections = Connections::new(LIMITS, closings.clone());
+        let mut stream = connections.admit(stream, address.ip()).await.unwrap();
+        let piece = vec![0; 1024 * 1024];
+        let writing = async {
+            loop {
+                let written =
+                    std::future::poll_fn(|cx| Pin::new(&mut stream).poll_write(cx, &piece));
+                if let Err(err) = written.await {
+                    return err;
+                }
+            }
+        };
+        let err = tokio::time::timeout(Duration::from_secs(20), writing).await;
+        assert_eq!(err.expect("the write ends").kind(), ErrorKind::TimedOut);
+        let labels = ClosingLabels { listener: "test", cause: "unread" };
+        assert_eq!(closings.get_or_create(&labels).get(), 1);
+    }
+
+    /// Guards against a connection that keeps its place after it was told to close.
+    #[tokio::test]
+    async fn a_connection_without_a_request_gives_way() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let connections = Connections::new(LIMITS, Closings::default());
+        let mut clients = Vec::new();
+        for _ in 0..5 {
+            clients.push(TcpStream::connect(listener.local_addr().unwrap()).await.unwrap());
+            let (stream, address) = listener.accept().await.unwrap();
+            let stream = connections.admit(stream, address.ip()).await.unwrap();
+            tokio::spawn(async move { stream.handle().closed.cancelled().await });
+        }
+        assert_eq!(connections.usage().0, 2);
+        for client in clients.drain(..3) {
+            client.readable().await.unwrap();
+            assert!(client.try_read(&mut [0]).is_ok_and(|count| count == 0));
+        }
+    }
+}
--- a/savoryport/src/node/callers.rs
+++ b/savoryport/src/node/callers.rs
@@ -2,12 +2,13 @@
 
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use bytes::Bytes;
+use hyper::body::{Frame, Incoming, SizeHint};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -18,7 +19,7 @@
 use super::NodeError;
 use super::context::NodeContext;
 use super::proxy;
-use super::response::Body;
+use super::response::{Body, IncompleteResponse};
 use crate::connection_limit::{LimitedStream, RequestInProgress};
 
 /// Timeout for receiving a request's headers and for an idle connection, before a configuration is
@@ -87,6 +88,7 @@
         metrics.caller_body_bytes.set(body_bytes as i64);
         metrics.caller_waiting_bodies.set(waiting as i64);
         metrics.response_bytes.set(cx.response_memory.used() as i64);
+        metrics.stream_bytes.set(cx.stream_memory.used() as i64);
         metrics.pooled_connections.set(cx.request_pool.idle_count() as i64);
     }
 }
@@ -123,13 +125,34 @@
 
 /// Keeps a connection from giving way until its answer is handed over to be sent.
 fn hold_until_sent(response: Response<Body>, in_progress: RequestInProgress) -> Response<Body> {
-    response.map(|body| {
-        body.map_frame(move |frame| {
-            let _ = &in_progress;
-            frame
-        })
-        .boxed()
-    })
+    response.map(|body| Body::new(HeldBody { body, _in_progress: in_progress }))
+}
+
+/// The body of an answer to a request that is in progress until the body is dropped.
+struct HeldBody {
+    body: Body,
+    _in_progress: RequestInProgress,
+}
+
+// The size has to be passed on, without which an answer of a known length would be sent in chunks.
+impl hyper::body::Body for HeldBody {
+    type Data = Bytes;
+    type Error = IncompleteResponse;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteResponse>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
 
 async fn respond(
--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -27,6 +27,7 @@
 use super::rpc::CopyUse;
 use super::settings::NodeSettings;
 use super::store_reader::StoreHealth;
+use super::stream::StreamMemory;
 use super::view::Member;
 use crate::connection_limit::Connections;
 
@@ -80,6 +81,8 @@
     pub caller_tasks: TaskTracker,
     /// The memory for servers' responses that are read to their end before they are forwarded.
     pub response_memory: SharedResponseMemory,
+    /// The memory for chunks of streams that callers have not read yet.
+    pub stream_memory: StreamMemory,
     /// The memory for callers' bodies.
     pub caller_memory: SharedCallerMemory,
     /// Callers' connections.
--- a/savoryport/src/node/message_stream.rs
+++ b/savoryport/src/node/message_stream.rs
@@ -99,7 +99,41 @@
 
 #[cfg(test)]
 mod tests {
-    use super::MessageEnds;
+    use std::time::Duration;
+
+    use tokio::net::{TcpListener, TcpStream};
+
+    use super::*;
+    use crate::connection_limit::{Closings, ConnectionLimits, Connections};
+
+    /// Guards against the closing of connections in use, as if their messages were incomplete.
+    #[tokio::test]
+    async fn complete_messages_are_no_incomplete_heads() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+        let (stream, address) = listener.accept().await.unwrap();
+        let limits = ConnectionLimits {
+            listener: "test",
+            connections: 1,
+            head_bytes: 1024,
+            unread: Duration::from_secs(60),
+        };
+        let connections = Connections::new(limits, Closings::default());
+        let stream = connections.admit(stream, address.ip()).await.unwrap();
+        let mut stream = MessageStream::new(stream);
+        for (bytes, incomplete) in [(&[0, 0, 0, 2, 7, 7][..], 0), (&[0, 0, 0, 2, 7], 5), (&[7], 0)]
+        {
+            assert_eq!(client.try_write(bytes).unwrap(), bytes.len());
+            let mut buffer = [0; 16];
+            let mut received = ReadBuf::new(&mut buffer);
+            while received.filled().len() < bytes.len() {
+                std::future::poll_fn(|cx| Pin::new(&mut stream).poll_read(cx, &mut received))
+                    .await
+                    .unwrap();
+            }
+            assert_eq!(connections.usage(), (1, incomplete));
+        }
+    }
 
     /// Guards against a connection in use that looks as if its message were incomplete, whatever
     /// pieces it arrives in.
--- a/savoryport/src/node/metrics.rs
+++ b/savoryport/src/node/metrics.rs
@@ -89,6 +89,8 @@
     pub caller_connections: Gauge,
     /// The memory of servers' responses that are read to their end, in bytes.
     pub response_bytes: Gauge,
+    /// The memory of chunks of streams that callers have not read yet, in bytes.
+    pub stream_bytes: Gauge,
     /// Idle connections to servers.
     pub pooled_connections: Gauge,
     /// Connections that the node closed.
@@ -132,6 +134,7 @@
             caller_head_bytes: Gauge::default(),
             caller_connections: Gauge::default(),
             response_bytes: Gauge::default(),
+            stream_bytes: Gauge::default(),
             pooled_connections: Gauge::default(),
             closed_connections: Closings::default(),
             orders: Family::default(),
@@ -241,6 +244,7 @@
             ("caller_head_bytes", "Incomplete heads", &self.caller_head_bytes),
             ("caller_connections", "Callers' connections", &self.caller_connections),
             ("response_bytes", "Memory of servers' responses", &self.response_bytes),
+            ("stream_bytes", "Chunks of streams that callers have not read", &self.stream_bytes),
             ("pooled_connections", "Idle connections to servers", &self.pooled_connections),
         ] {
             registry.register(name, help, gauge.clone());
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -79,6 +79,7 @@
 use self::routing_state::SharedRoutingState;
 use self::settings::NodeSettings;
 use self::store_reader::StoreHealth;
+use self::stream::StreamMemory;
 use self::view::Member;
 use crate::connection_limit::{ConnectionLimits, Connections};
 
@@ -179,6 +180,7 @@
     let (metrics, memory) = (NodeMetrics::default(), settings.memory_shares());
     NodeContext {
         response_memory: SharedResponseMemory::new(memory.responses),
+        stream_memory: StreamMemory::new(memory.streams),
         caller_memory: SharedCallerMemory::new(settings.caller_memory_limits()),
         caller_connections: Connections::new(
             ConnectionLimits {
--- a/savoryport/src/node/response_body.rs
+++ b/savoryport/src/node/response_body.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use savoryport_core::node::response_memory::{Growth, ResponseId, ResponseMemory};
@@ -15,6 +15,9 @@
 /// The maximum size of a response body that is buffered in memory, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// The least memory that is reserved at once, in bytes.
+const MIN_STEP: usize = 4 * 1024;
+
 /// The memory for servers' responses, shared by the tasks of a node.
 #[derive(Debug, Clone)]
 pub struct SharedResponseMemory(Arc<Mutex<State>>);
@@ -79,16 +82,21 @@
 impl Reservation {
     async fn read(self, body: Incoming) -> Option<CompleteBody> {
         let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
-        let mut collected = BytesMut::new();
+        let mut collected = Vec::new();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.ok()?.into_data() else { continue };
-            if !self.grow(data.len()) {
-                return None;
+            if collected.capacity() - collected.len() < data.len() {
+                // A vector that doubles would take up twice the memory that is reserved.
+                let step = (collected.len() / 4).max(MIN_STEP).max(data.len());
+                if !self.grow(collected.len() + step - collected.capacity()) {
+                    return None;
+                }
+                collected.reserve_exact(step);
             }
             collected.extend_from_slice(&data);
         }
         self.shared.lock().memory.complete(self.id);
-        Some(CompleteBody { bytes: collected.freeze(), reservation: self })
+        Some(CompleteBody { bytes: collected.into(), reservation: self })
     }
 
     /// Reserves memory; returns whether the response may take it up.
--- a/savoryport/src/node/settings.rs
+++ b/savoryport/src/node/settings.rs
@@ -189,6 +189,8 @@
     pub bodies: usize,
     /// For incomplete heads.
     pub heads: usize,
+    /// For chunks of streams that callers have not read yet.
+    pub streams: usize,
 }
 
 /// An error that makes the settings unusable.
@@ -327,11 +329,12 @@
             0 => rest * 5 / 8,
             body_mb => body_mb * MB,
         };
-        // What is left is for streams and the buffers of connections.
+        // What is left is for the buffers of connections.
         MemoryShares {
             responses: responses as usize,
             bodies: bodies as usize,
             heads: (rest / 8) as usize,
+            streams: (rest / 8) as usize,
         }
     }
 
@@ -364,7 +367,7 @@
 
     /// Returns the number of idle connections to servers that are kept.
     pub fn max_pooled_connections(&self) -> usize {
-        (self.file_descriptors as usize / 4).max(16)
+        (self.file_descriptors as usize / 8).max(16)
     }
 
     /// Returns whether a failure domain is in the region of this VM.
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -1,5 +1,7 @@
 //! Forwards a server's stream to the caller, and resumes it at another server if it is interrupted.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -21,6 +23,66 @@
 /// The number of chunks that are buffered for a caller that reads slowly.
 const CALLER_BUFFER_CHUNKS: usize = 4;
 
+/// The memory for chunks that callers have not read yet, shared by the streams of a node.
+#[derive(Debug, Clone)]
+pub struct StreamMemory {
+    limit: usize,
+    used: Arc<AtomicUsize>,
+}
+
+/// The memory of a chunk; dropping it frees the memory.
+#[derive(Debug)]
+struct ChunkMemory {
+    memory: StreamMemory,
+    bytes: usize,
+}
+
+/// A chunk that waits for the caller to read it.
+#[derive(Debug)]
+struct QueuedChunk {
+    chunk: Result<Frame<Bytes>, IncompleteResponse>,
+    _memory: Option<ChunkMemory>,
+}
+
+impl StreamMemory {
+    /// Creates a memory of so many bytes, beyond which each stream has one chunk at a time.
+    pub fn new(limit: usize) -> Self {
+        Self { limit, used: Arc::default() }
+    }
+
+    /// Returns the number of bytes in use.
+    pub fn used(&self) -> usize {
+        self.used.load(Ordering::Relaxed)
+    }
+
+    /// Queues a chunk for a caller. While the memory is used up, the chunk before has to be read first.
+    async fn queue(
+        &self,
+        chunks: &mpsc::Sender<QueuedChunk>,
+        data: Bytes,
+    ) -> Result<(), mpsc::error::SendError<()>> {
+        let is_short = self.used() + data.len() > self.limit;
+        let room = if is_short { chunks.max_capacity() } else { 1 };
+        let mut permits = chunks.reserve_many(room).await?;
+        if let Some(permit) = permits.next() {
+            let memory = Some(self.take(data.len()));
+            permit.send(QueuedChunk { chunk: Ok(Frame::data(data)), _memory: memory });
+        }
+        Ok(())
+    }
+
+    fn take(&self, bytes: usize) -> ChunkMemory {
+        self.used.fetch_add(bytes, Ordering::Relaxed);
+        ChunkMemory { memory: self.clone(), bytes }
+    }
+}
+
+impl Drop for ChunkMemory {
+    fn drop(&mut self) {
+        self.memory.used.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 /// A resumable stream is resumed at another server after this time without data, if its server
 /// sends nothing to any other request of this node either. Callers disconnect after two seconds at
 /// the earliest.
@@ -55,7 +117,7 @@
 /// A stream that is being forwarded to the caller.
 struct StreamForwarder {
     request: ProxyRequest,
-    chunks: mpsc::Sender<Result<Frame<Bytes>, IncompleteResponse>>,
+    chunks: mpsc::Sender<QueuedChunk>,
     /// The events of a resumable stream.
     relay: EventRelay,
     /// Where the last event of a stream ends that is forwarded as it arrives, since it cannot be
@@ -94,10 +156,10 @@
 }
 
 fn chunk_stream(
-    receiver: mpsc::Receiver<Result<Frame<Bytes>, IncompleteResponse>>,
+    receiver: mpsc::Receiver<QueuedChunk>,
 ) -> impl futures::Stream<Item = Result<Frame<Bytes>, IncompleteResponse>> {
     futures::stream::unfold(receiver, async |mut receiver| {
-        receiver.recv().await.map(|chunk| (chunk, receiver))
+        receiver.recv().await.map(|queued| (queued.chunk, receiver))
     })
 }
 
@@ -152,7 +214,8 @@
 
     /// Ends the caller's response as incomplete.
     async fn abort(&mut self, outcome: &str, status: u16) {
-        let _ = self.chunks.send(Err(IncompleteResponse)).await;
+        let end = QueuedChunk { chunk: Err(IncompleteResponse), _memory: None };
+        let _ = self.chunks.send(end).await;
         self.request.log_end(outcome, status, None);
     }
 
@@ -413,14 +476,33 @@
         if data.is_empty() {
             return None;
         }
-        let sending = tokio::time::timeout(
-            self.request.remaining_time(),
-            self.chunks.send(Ok(Frame::data(data))),
-        );
-        match sending.await {
+        let queuing = self.request.cx.stream_memory.queue(&self.chunks, data);
+        match tokio::time::timeout(self.request.remaining_time(), queuing).await {
             Ok(Ok(())) => None,
             Ok(Err(_)) => Some(StreamEnd::CallerLeft),
             Err(_) => Some(StreamEnd::TimedOut),
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use futures::FutureExt;
+
+    use super::*;
+
+    /// Guards against chunks that are held for callers that do not read.
+    #[test]
+    fn a_stream_has_one_chunk_at_a_time_when_memory_is_short() {
+        let memory = StreamMemory::new(10);
+        let (chunks, mut receiver) = mpsc::channel(CALLER_BUFFER_CHUNKS);
+        let queue = || memory.queue(&chunks, Bytes::from_static(b"eight by"));
+        assert_eq!(queue().now_or_never(), Some(Ok(())));
+        assert_eq!(queue().now_or_never(), None);
+        drop(receiver.try_recv());
+        assert_eq!(memory.used(), 0);
+        assert_eq!(queue().now_or_never(), Some(Ok(())));
+        drop(receiver);
+        assert_eq!(memory.used(), 0);
+    }
+}
--- a/savoryport/tests/node_parts.rs
+++ b/savoryport/tests/node_parts.rs
@@ -81,6 +81,27 @@
     assert_matches!(NodeSettings::parse("[]"), Err(NodeSettingsError::Malformed(_)));
 }
 
+/// Guards against shares that leave too little for the process on the smallest VM, or too little for the
+/// largest body.
+#[test]
+fn shares_of_a_small_vm_leave_memory_to_the_process() {
+    const MB: usize = 1024 * 1024;
+    for memory_mb in [112, 160, 512] {
+        let settings = NodeSettings { memory_mb, ..NodeSettings::default() };
+        let shares = settings.memory_shares();
+        let sum = shares.responses + shares.bodies + shares.heads + shares.streams;
+        assert!(sum + 40 * MB <= memory_mb as usize * MB, "{memory_mb}: {shares:?}");
+        let limits = settings.caller_memory_limits();
+        assert!(limits.limit - limits.small_reserve >= 4 * MB, "{memory_mb}: {limits:?}");
+    }
+    let bad = r#"{"caller_address_share":1.5,"caller_stall_ms":0,"caller_unread_ms":1,"caller_body_mb":999,
+        "caller_min_bytes_per_s":0,"caller_descriptor_share":0.9,"caller_small_body_bytes":0,
+        "caller_wait_ms":99999,"memory_mb":0}"#;
+    assert_matches!(NodeSettings::parse(bad), Err(NodeSettingsError::InvalidFields(problems)) => {
+        assert_eq!(problems.len(), 9, "{problems:?}");
+    });
+}
+
 #[test]
 fn member_that_no_node_confirms_expires() {
     let (fleet, now) = (Fleet::new(member("own")), Instant::now());
--- a/savoryport/tests/node_untrusted_clients.rs
+++ b/savoryport/tests/node_untrusted_clients.rs
@@ -437,6 +437,37 @@
     drop(clients);
 }
 
+/// Guards against waiting for the rest of a body that is too long, by its length or by what was sent.
+#[test]
+fn bodies_over_the_limit_are_refused_before_their_end() {
+    let site = Site::start(&[]);
+    let mut chunk = format!("{:x}\r\n", MAX_BODY + 1).into_bytes();
+    chunk.extend(vec![b'x'; MAX_BODY + 1]);
+    for (headers, sent) in
+        [(length_headers(1, MAX_BODY + 1), &[][..]), (chunked_headers(2), &chunk)]
+    {
+        let mut client = Client::connect(&site.callers()).expect("the node accepts");
+        assert!(client.send_head("/lookup/x", &headers));
+        assert!(client.send(sent));
+        let mut status = [0; 12];
+        client.stream.set_read_timeout(Some(SEND_TIME)).expect("a positive timeout");
+        client.stream.read_exact(&mut status).expect("an answer");
+        assert_eq!(&status, b"HTTP/1.1 413");
+    }
+}
+
+/// Guards against answers of a known length that are sent in chunks.
+#[test]
+fn refusals_have_a_length() {
+    let site = Site::start(&[]);
+    let mut client = Client::connect(&site.callers()).expect("the node accepts");
+    client.send(b"GET /nowhere HTTP/1.1\r\nHost: site.example\r\nConnection: close\r\n\r\n");
+    client.stream.set_read_timeout(Some(SEND_TIME)).expect("a positive timeout");
+    let mut answer = String::new();
+    client.stream.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.contains("content-length: 20") && answer.ends_with("{\"error\":\"no-route\"}"));
+}
+
 /// Guards against limits that a caller within the documented limits meets: the largest body, at the
 /// smallest VM.
 #[test]
--- a/savoryport_core/tests/caller_memory.rs
+++ b/savoryport_core/tests/caller_memory.rs
@@ -165,7 +165,9 @@
     let start = Instant::now();
     let kept: Vec<_> = (0..8)
         .map(|number| {
-            let (id, _) = table.open(address(number), start).expect("there is room");
+            // Every other one shares the address of the crowd.
+            let address = address(number % 2 * 100);
+            let (id, _) = table.open(address, start).expect("there is room");
             table.begin_request(id);
             table.end_request(id, start);
             id
