--- a/savoryport/src/node/caller_stream.rs
+++ b/savoryport/src/node/caller_stream.rs
@@ -7,18 +7,19 @@
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+
+use crate::connection_limit::LimitedStream;
 
 /// A connection that notes whether the last write had to wait for the caller.
 #[derive(Debug)]
 pub struct CallerStream {
-    stream: TcpStream,
+    stream: LimitedStream,
     is_write_blocked: Arc<AtomicBool>,
 }
 
 impl CallerStream {
     /// Wraps a connection; `is_write_blocked` is set while bytes wait to be written.
-    pub fn new(stream: TcpStream, is_write_blocked: Arc<AtomicBool>) -> Self {
+    pub fn new(stream: LimitedStream, is_write_blocked: Arc<AtomicBool>) -> Self {
         Self { stream, is_write_blocked }
     }
 
--- a/savoryport/src/node/callers.rs
+++ b/savoryport/src/node/callers.rs
@@ -14,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
 use super::NodeError;
 use super::caller_stream::CallerStream;
@@ -22,6 +22,7 @@
 use super::open_work::OpenCount;
 use super::proxy;
 use super::response::{Body, IncompleteResponse};
+use crate::connection_limit::{LimitedStream, RequestInProgress};
 
 /// Timeout for receiving a request's headers and for an idle connection, before a configuration is
 /// known.
@@ -36,9 +37,8 @@
 /// The delay after accepting a connection failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// The share of the file descriptors that callers' connections may use; the others are for
-/// connections to servers, nodes and the store.
-const CALLER_DESCRIPTOR_SHARE: f64 = 0.5;
+/// The interval between two checks of callers' connections.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
 
 /// How long a connection without a request, and with nothing left to write, stays open once the
 /// stopping node takes no more requests. A head that was sent before may still be on its way.
@@ -56,54 +56,70 @@
     TcpListener::bind(address).await.map_err(|err| NodeError::Listen { address, err })
 }
 
-/// Accepts callers' connections until [`NodeContext::connection_shutdown`] is cancelled. A
-/// connection beyond the limit is dropped.
+/// Accepts callers' connections until [`NodeContext::connection_shutdown`] is cancelled. If there are
+/// too many, one without a request gives way; without such a one the new connection is dropped.
 pub async fn accept(cx: Arc<NodeContext>, listener: TcpListener) {
     let open_connections = cx.open_work.connections.clone();
-    let max_connections = (cx.settings.file_descriptors as f64 * CALLER_DESCRIPTOR_SHARE) as usize;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = cx.connection_shutdown.cancelled() => return,
         };
-        let stream = match accepted {
-            Ok((stream, _)) if open_connections.load(Ordering::Relaxed) < max_connections => stream,
-            Ok(_) => continue,
+        let (stream, caller) = match accepted {
+            Ok((stream, address)) => (stream, address.ip()),
             Err(err) => {
                 log::warn!(err:% = err; "cannot accept a connection");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
+        if let Err(err) = stream.set_nodelay(true) {
+            log::debug!(err:% = err; "cannot set TCP_NODELAY");
+        }
+        let Some(stream) = cx.caller_connections.admit(stream, caller).await else { continue };
         let open_connection = OpenCount::new(&open_connections);
         let cx = cx.clone();
         let caller_tasks = cx.caller_tasks.clone();
         caller_tasks.spawn(async move {
-            serve_connection(&cx, stream).await;
+            serve_connection(&cx, stream, caller).await;
             drop(open_connection);
         });
     }
 }
 
-async fn serve_connection(cx: &Arc<NodeContext>, stream: TcpStream) {
-    if let Err(err) = stream.set_nodelay(true) {
-        log::debug!(err:% = err; "cannot set TCP_NODELAY");
+/// Closes callers' connections whose heads take too long, and updates the gauges.
+pub async fn watch(cx: Arc<NodeContext>) {
+    loop {
+        tokio::time::sleep(WATCH_INTERVAL).await;
+        if let Some(deployment) = cx.fleet.view().deployment() {
+            cx.caller_connections.close_overdue(deployment.limits.header_timeout);
+        }
+        let metrics = &cx.metrics;
+        let (connections, head_bytes) = cx.caller_connections.usage();
+        let (body_bytes, waiting) = cx.caller_memory.usage();
+        metrics.caller_connections.set(connections as i64);
+        metrics.caller_head_bytes.set(head_bytes as i64);
+        metrics.caller_body_bytes.set(body_bytes as i64);
+        metrics.caller_waiting_bodies.set(waiting as i64);
+        metrics.response_bytes.set(cx.response_memory.used() as i64);
+        metrics.stream_bytes.set(cx.stream_memory.used() as i64);
+        metrics.pooled_connections.set(cx.request_pool.idle_count() as i64);
     }
+}
+
+async fn serve_connection(cx: &Arc<NodeContext>, stream: LimitedStream, caller: IpAddr) {
     let limits = cx.fleet.view().deployment().map(|deployment| deployment.limits);
     let idle_timeout = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout);
     let max_header_bytes = limits
         .map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes.max(MIN_BUFFER_BYTES));
-    let caller = match stream.peer_addr() {
-        Ok(address) => address.ip(),
-        Err(err) => {
-            log::debug!(err:% = err; "caller's connection failed");
-            return;
-        }
-    };
+    let handle = stream.handle();
     let own_requests = Arc::new(AtomicUsize::new(0));
     let is_write_blocked = Arc::new(AtomicBool::new(false));
     let stream = CallerStream::new(stream, is_write_blocked.clone());
-    let service = service_fn(|req| respond(cx.clone(), caller, own_requests.clone(), req));
+    let service = service_fn(|req| {
+        let in_progress = handle.begin_request();
+        respond(cx.clone(), caller, own_requests.clone(), in_progress, req)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
@@ -123,6 +139,7 @@
                 None => return log::debug!(caller:% = caller; "connection without a request closed"),
             }
         }
+        () = handle.closed.cancelled() => return,
     };
     if let Err(err) = result {
         log::debug!(err:% = err; "caller's connection failed");
@@ -146,12 +163,15 @@
     None
 }
 
-/// A response body whose request counts as open until it is handed over for writing.
+/// A response body whose request counts as open, and keeps its connection from giving way, until the
+/// body is handed over for writing.
 struct CountedBody {
     body: Body,
     _open: (OpenCount, OpenCount),
+    _in_progress: RequestInProgress,
 }
 
+// The size has to be passed on, without which an answer of a known length would be sent in chunks.
 impl hyper::body::Body for CountedBody {
     type Data = Bytes;
     type Error = IncompleteResponse;
@@ -176,11 +196,13 @@
     cx: Arc<NodeContext>,
     caller: IpAddr,
     own_requests: Arc<AtomicUsize>,
+    in_progress: RequestInProgress,
     req: Request<Incoming>,
 ) -> Result<Response<CountedBody>, Infallible> {
     let open = (OpenCount::new(&cx.open_work.requests), OpenCount::new(&own_requests));
     let response = proxy::serve(cx.clone(), caller, req).await;
-    let mut response = response.map(|body| CountedBody { body, _open: open });
+    let mut response =
+        response.map(|body| CountedBody { body, _open: open, _in_progress: in_progress });
     if cx.stopping.is_cancelled() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -22,13 +22,16 @@
 use super::open_work::OpenWork;
 use super::peer_connections::PeerConnections;
 use super::peer_server::PeerReports;
+use super::request_body::SharedCallerMemory;
 use super::response_body::SharedResponseMemory;
 use super::routing_state::SharedRoutingState;
 use super::rpc::CopyUse;
 use super::settings::NodeSettings;
 use super::store_reader::StoreHealth;
+use super::stream::StreamMemory;
 use super::team_quota::NodeQuotas;
 use super::view::Member;
+use crate::connection_limit::Connections;
 
 /// The state shared by all tasks of a node.
 pub struct NodeContext {
@@ -84,6 +87,12 @@
     pub open_work: OpenWork,
     /// The memory for servers' responses that are read to their end before they are forwarded.
     pub response_memory: SharedResponseMemory,
+    /// The memory for chunks of streams that callers have not read yet.
+    pub stream_memory: StreamMemory,
+    /// The memory for callers' bodies.
+    pub caller_memory: SharedCallerMemory,
+    /// Callers' connections.
+    pub caller_connections: Connections,
     /// The part of the nodes that callers are sent to.
     pub entry_subset: Mutex<EntrySubset>,
     /// The random number generator, seeded from the VM's name and the start time.
