Let a node that has just started spend a small part of each quota

Until then a node now takes itself for one of 100. The replay of a herd of starting nodes holds its bound.

--- a/savoryport_core/src/node/team_quota.rs
+++ b/savoryport_core/src/node/team_quota.rs
@@ -23,9 +23,12 @@
 const MEMBER_LINGER: Duration = Duration::from_secs(8);
 
 /// After its start, a leader takes this long to hear of its followers and of the other leaders. Its
-/// buckets do not refill before, since many nodes may have started with it.
+/// buckets refill by the part of one node of many before, since all may have started with it.
 const WARM_UP: Duration = Duration::from_millis(1_500);
 
+/// The least number of nodes that a node shares limits with until it has heard of any other.
+const ASSUMED_NODES: u32 = 100;
+
 /// The time over which rates of use are averaged.
 const RATE_WINDOW: Duration = Duration::from_millis(500);
 
@@ -821,7 +824,11 @@
     /// the smaller of the former part and the next one.
     fn update_part(&mut self, now: Instant) {
         let heard = self.heard(now);
-        let part = (f64::from(heard) / f64::from(self.known)).min(1.0);
+        let part = match heard {
+            // All nodes may have started together, none of which knows how many there are.
+            0 => 1.0 / f64::from(self.known.max(ASSUMED_NODES)),
+            _ => (f64::from(heard) / f64::from(self.known)).min(1.0),
+        };
         let expiries = self.peers.iter().map(|peer| peer.reported_at + REPORT_LIFETIME);
         self.part_until = expiries
             .chain([self.started_at + WARM_UP, self.started_at + MEMBER_LINGER])
