--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -185,7 +185,7 @@
     }
     let release_timeout = StopPlan::exit_margin(within) / 2;
     if tokio::time::timeout(release_timeout, leadership_task).await.is_err() {
-        log::warn!(timeout_ms = release_timeout.as_millis() as u64; "duties not given up in time");
+        log::warn!(timeout_ms = release_timeout.as_millis() as u64; "duties not released in time");
     }
     log::info!(took_ms = (cx.now() - now).as_millis() as u64; "stopped");
 }
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -417,7 +417,7 @@
             return Selection::NoServer;
         };
         let input = self.admission_input(choice.expected_latency, now);
-        // The time to return is spread when the request is refused for good.
+        // The time to return is spread when the refusal is sent.
         let priority = match decide_admission(&input, 0.0) {
             AdmissionDecision::Admit { priority } => priority,
             AdmissionDecision::Refuse { retry_after } => {
--- a/savoryport/tests/node_teams.rs
+++ b/savoryport/tests/node_teams.rs
@@ -272,7 +272,7 @@
     assert!(written_at.elapsed() < APPLY_TIME, "{:?}", written_at.elapsed());
     check_withdrawn(&site, written_at, Duration::from_secs(6));
     wait_for_recovery(&site);
-    // A key that comes back works again.
+    // A key that is configured anew works again.
     set_keys(&mut site, &[OLD, KEPT]);
     site.wait_until("the key works again", |site| {
         (0..site.nodes.len()).all(|node| ask(site, node, OLD).status == 200)
@@ -280,7 +280,7 @@
 }
 
 /// Guards against a node that goes on with its keys while it cannot hear of changes, against one that
-/// blames the caller for that, and against one that is given up although its leader reads the store.
+/// blames the caller for that, and against one that is removed although its leader reads the store.
 #[test]
 fn a_withdrawn_key_stops_working_at_nodes_that_are_cut_off_from_the_store() {
     let mut site = start(&["east-a"], 3);
--- a/savoryport/tests/node_untrusted_clients.rs
+++ b/savoryport/tests/node_untrusted_clients.rs
@@ -289,7 +289,7 @@
     site.check("sent bodies far over the limit");
 }
 
-/// Guards against clients that take all connections with heads that never end, and come back as soon
+/// Guards against clients that take all connections with heads that never end, and reconnect as soon
 /// as they are turned away.
 #[test]
 fn heads_byte_by_byte_leave_connections_to_others() {
--- a/savoryport_core/src/node/caller_connections.rs
+++ b/savoryport_core/src/node/caller_connections.rs
@@ -1,7 +1,7 @@
 //! Divides the connections that a listener may have.
 //!
 //! Load pattern: a crowd opens more connections than there are descriptors, sends heads byte by byte
-//! or nothing, and comes back at once when it is turned away, beside ordinary callers that send whole
+//! or nothing, and reconnects at once when it is refused, beside ordinary callers that send whole
 //! heads and keep their connections for the next request. When the connections are used up, the one
 //! gives way that has served least: one that never had a request before one that had, then one of the
 //! address with the most connections, then the oldest.
--- a/savoryport_core/tests/caller_memory.rs
+++ b/savoryport_core/tests/caller_memory.rs
@@ -156,7 +156,7 @@
     assert_eq!(granted(&mut memory, 2), 2);
 }
 
-/// Load pattern: a crowd with heads that never end comes back at once, beside callers that keep their
+/// Load pattern: a crowd with heads that never end reconnects at once, beside callers that keep their
 /// connections and new ones that send their heads as soon as they are connected.
 #[test]
 fn connections_without_a_request_make_room_for_others() {
