Trust a store that tells no era like one in its first era

After a restart of all nodes keyed requests were refused for some 5 s where the store sends no Store-Era: nobody took its word until a leader was elected, 2 s, and had led for another 2.5 s. The eras are sent by a store that can go back; one without them loses nothing.

--- a/savoryport_core/src/node/config_age.rs
+++ b/savoryport_core/src/node/config_age.rs
@@ -29,8 +29,8 @@
     pub asked_at: Instant,
     /// The version in force after the reading.
     pub version: u64,
-    /// The number of the store's history, which changes when it goes back to a copy; 0 if it does
-    /// not tell.
+    /// The number of the store's history, which rises when it goes back to a copy; 0 if it does not
+    /// tell. Such a store says of itself that it loses nothing.
     pub era: u64,
     /// Whether the node leads a failure domain, so that other nodes call it.
     pub is_leader: bool,
@@ -68,7 +68,7 @@
     }
 
     fn trusts(&mut self, StoreReading { asked_at, era, is_leader, .. }: StoreReading) -> bool {
-        if era == FIRST_ERA || self.trusted_era == Some(era) {
+        if era <= FIRST_ERA || self.trusted_era == Some(era) {
             return true;
         }
         if !is_leader {
