Show that a wrong first number makes a piece of a stream disappear

Claim: a server that counts events from 0 and sends 1 for its first number is not noticed; the stream is resumed after a piece that the caller never got, and delivered as complete.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -11,6 +11,7 @@
 mod roll;
 mod server;
 mod site;
+mod spoilt;
 mod store;
 mod turns;
 
@@ -21,6 +22,7 @@
         Some("leaving") => leaving::run(has_trouble),
         Some("turns") => turns::run(has_trouble),
         Some("roll") => roll::run(has_trouble),
+        Some("spoilt") => spoilt::run(has_trouble),
         Some("memory") => memory::run(has_trouble),
         Some("poison") => poison::run(has_trouble),
         _ => std::process::exit(2),
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -40,6 +40,8 @@
     pub token_us: u64,
     /// The time in which an engine loads a model.
     pub load: Duration,
+    /// The models of which it has copies on its disk.
+    pub on_disk: Vec<String>,
     /// The part of a prompt on which the engine crashes.
     pub deadly_part: Option<String>,
     /// The events that it has written of the answer by then.
@@ -69,10 +71,13 @@
     /// Closed before the connections when the process ends.
     listener: Mutex<Option<TcpListener>>,
     pub token_us: AtomicU64,
-    /// Whether the streams are worked on without an event being sent.
-    pub is_mute: AtomicBool,
     /// Whether the server leaves, as its answers say then.
     is_leaving: AtomicBool,
+    /// Whether the events of streams are counted from 0.
+    pub counts_from_zero: AtomicBool,
+    /// Of so many answers one is spoilt; 0 for none.
+    pub spoils_one_of: AtomicU64,
+    answers: AtomicU64,
 }
 
 fn unix_ms() -> u64 {
@@ -102,8 +107,10 @@
             store: store.clone(),
             record: record.clone(),
             token_us: AtomicU64::new(cfg.token_us),
-            is_mute: AtomicBool::new(false),
             is_leaving: AtomicBool::new(false),
+            counts_from_zero: AtomicBool::new(false),
+            spoils_one_of: AtomicU64::new(0),
+            answers: AtomicU64::new(0),
             cfg,
             state: Mutex::new(state),
             listener: Mutex::default(),
@@ -195,17 +202,23 @@
         self.store.write(&key, &entry);
     }
 
+    fn on_disk(&self) -> String {
+        let models: Vec<String> = self.cfg.on_disk.iter().map(|model| quote(model)).collect();
+        models.join(",")
+    }
+
     fn entry(&self, state: &State) -> String {
         format!(
             "{{\"service\":{},\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":{},\
              \"state\":\"ready\",\"coldRemainingMs\":0,\"stage\":\"both\",\"born\":{},\
-             \"models\":[{}],\"sequence\":{}}}",
+             \"models\":[{}],\"available\":{{\"resident\":[],\"stored\":[{}]}},\"sequence\":{}}}",
             quote(&self.cfg.service),
             self.address,
             quote(&self.cfg.zone),
             self.cfg.slots,
             state.born,
             encode_models(state),
+            self.on_disk(),
             state.beats
         )
     }
@@ -291,11 +304,12 @@
         format!(
             "{{\"stage\":\"both\",\"born\":{},\"models\":[{}],\"busy\":{},\"sequence\":{},\
              \"queuedRequests\":0,\"activeRequests\":0,\"kvCacheUsed\":0,\"kvCacheTotal\":259204,\
-             \"handles\":0,\"pending\":[{}]}}",
+             \"handles\":0,\"available\":{{\"resident\":[],\"stored\":[{}]}},\"pending\":[{}]}}",
             state.born,
             encode_models(&state),
             state.loading.is_some(),
             state.sequence,
+            self.on_disk(),
             pending.collect::<Vec<_>>().join(",")
         )
     }
@@ -362,8 +376,12 @@
         let (prompt, output) = counts.split_once(',').unwrap_or(("0", "50"));
         let prompt: f64 = prompt.parse().unwrap_or(0.0);
         let output: u64 = output.parse().unwrap_or(50);
-        let after: u64 =
-            request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let base = u64::from(!self.counts_from_zero.load(Ordering::Relaxed));
+        let after: Option<u64> = request.header("last-event-id").and_then(|id| id.parse().ok());
+        let next = after.map_or(base, |after| after + 1);
+        let number = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
+        let spoils_one_of = self.spoils_one_of.load(Ordering::Relaxed);
+        let is_spoilt = spoils_one_of > 0 && number.is_multiple_of(spoils_one_of) && next == 0;
         let ended = |server: &Self| server.record.run(&id, &attempt, Step::Ended, "");
         if self.wait(conn, Duration::from_secs_f64(prompt / PROMPT_TOKENS_PER_MS / 1e3)) {
             ended(self);
@@ -384,41 +402,41 @@
         }
         head.push_str("\r\n");
         let events = output.div_ceil(TOKENS_PER_EVENT);
-        for event in after + 1..=events {
+        for event in next..events + base {
             for number in 0..TOKENS_PER_EVENT {
                 if self.wait(conn, token()) {
                     ended(self);
                     return Err(io::ErrorKind::BrokenPipe.into());
                 }
-                if event == after + 1 && number == 0 {
-                    self.record.run(&id, &attempt, Step::Began, &format!("after={after}"));
+                if event == next && number == 0 {
+                    self.record.run(&id, &attempt, Step::Began, &format!("from event {next}"));
                 }
             }
-            if self.is_mute.load(Ordering::Relaxed) {
-                continue;
-            }
             if is_deadly && self.cfg.deadly_events == 0 {
                 ended(self);
                 self.crash(Duration::from_secs(4), &format!("it answers {attempt}"));
                 return Err(io::ErrorKind::BrokenPipe.into());
             }
-            let text = format!("id: {event}\ndata: piece {event} of {attempt}\n\n");
+            let mut text = format!("id: {event}\ndata: piece {event} of {attempt}\n\n");
+            if is_spoilt && event == 0 {
+                text.replace_range(4..5, "1");
+                self.record.line(format!(
+                    "server {id} spoils one byte of {attempt}: the id of event 0 is 1"
+                ));
+            }
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-            let bytes = if event == after + 1 { head.clone() + &chunk } else { chunk };
+            let bytes = if event == next { head.clone() + &chunk } else { chunk };
             if conn.write(bytes.as_bytes()).is_err() {
                 ended(self);
                 return Err(io::ErrorKind::BrokenPipe.into());
             }
-            if is_deadly && event >= after + self.cfg.deadly_events {
+            if is_deadly && event + 1 >= next + self.cfg.deadly_events {
                 ended(self);
                 self.crash(Duration::from_secs(4), &format!("it answers {attempt}"));
                 return Err(io::ErrorKind::BrokenPipe.into());
             }
         }
         ended(self);
-        if self.is_mute.load(Ordering::Relaxed) {
-            sleep(Duration::from_secs(20));
-        }
         conn.write(b"0\r\n\r\n")
     }
 
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -27,7 +27,14 @@
 pub const MODELS: [&str; 3] = ["m0", "m1", "m2"];
 
 impl Site {
+    /// Starts a site whose operator has written a configuration.
     pub fn new() -> Self {
+        let site = Self::without_config();
+        site.store.write("op/config", &config(7, &MODELS));
+        site
+    }
+
+    pub fn without_config() -> Self {
         let number = std::process::id() % 200 + 20;
         let base = format!("127.{number}");
         let dir = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
@@ -35,7 +42,6 @@
         let record = Record::new();
         let store = Store::start();
         let front = store.open(&format!("{base}.1.1"));
-        store.write("op/config", &config(7));
         Self { base, dir, record, store, front, servers: vec![], nodes: vec![], starts: 0 }
     }
 
@@ -62,6 +68,7 @@
             work: Duration::from_millis(15),
             token_us: 0,
             load: Duration::ZERO,
+            on_disk: Vec::new(),
             deadly_part: None,
             deadly_events: 0,
         })
@@ -73,6 +80,18 @@
         zone: &str,
         models: &[&str],
         deadly_part: Option<&str>,
+    ) -> Arc<Server> {
+        self.add_engine_with_disk(id, zone, models, deadly_part, &[])
+    }
+
+    /// Adds an engine that has copies of these models on its disk.
+    pub fn add_engine_with_disk(
+        &mut self,
+        id: &str,
+        zone: &str,
+        models: &[&str],
+        deadly_part: Option<&str>,
+        on_disk: &[&str],
     ) -> Arc<Server> {
         self.starts += 1;
         self.add_server(ServerConfig {
@@ -84,7 +103,8 @@
             slots: 64,
             work: Duration::ZERO,
             token_us: 4_430,
-            load: Duration::from_millis(3_800),
+            load: Duration::from_millis(if on_disk.is_empty() { 3_800 } else { 760 }),
+            on_disk: on_disk.iter().map(|model| (*model).to_owned()).collect(),
             deadly_part: deadly_part.map(str::to_owned),
             // With EVENTS=0 the engine crashes before it writes anything.
             deadly_events: std::env::var("EVENTS").map_or(1, |count| count.parse().unwrap_or(1)),
@@ -173,6 +193,7 @@
     pub status: u16,
     pub is_complete: bool,
     pub has_stamp: bool,
+    pub body: Vec<u8>,
 }
 
 impl Answer {
@@ -203,12 +224,13 @@
                 message.header("retry-after").unwrap_or("-"),
                 message.body.len()
             );
-            let has_stamp = stamp.is_some();
-            (text, Answer { sent_at, ended_at, status, is_complete, has_stamp })
+            let (has_stamp, body) = (stamp.is_some(), message.body);
+            (text, Answer { sent_at, ended_at, status, is_complete, has_stamp, body })
         }
         Err(err) => {
             let text = format!("no answer: {err}");
-            (text, Answer { sent_at, ended_at, status: 0, is_complete: false, has_stamp: false })
+            let (is_complete, has_stamp, body) = (false, false, Vec::new());
+            (text, Answer { sent_at, ended_at, status: 0, is_complete, has_stamp, body })
         }
     };
     let start = request.lines().next().unwrap_or("");
@@ -244,7 +266,7 @@
 }
 
 /// Returns a configuration like that of a small installation.
-pub fn config(version: u64) -> String {
+pub fn config(version: u64, models: &[&str]) -> String {
     let route = |name: &str, kind: &str, service: &str, (timeout, target): (u32, u32), rank: u8| {
         let resumable = kind == "streaming" && name != "listings";
         let attempts = if kind == "non_idempotent" || name == "listings" { 1 } else { 2 };
@@ -262,7 +284,7 @@
         route("orders", "non_idempotent", "orders", (2_000, 200), 2),
         route("stock", "idempotent", "orders", (2_000, 200), 2),
     ];
-    let models = MODELS.map(|name| {
+    let models = models.iter().map(|name| {
         format!(
             "{{\"name\":\"{name}\",\"weightsMb\":65100,\"loadTimeS\":3.8,\"adapters\":16,\
              \"adapterSizeMb\":12.0,\"warmUpS\":0.38,\"diskLoadS\":0.76}}"
@@ -278,6 +300,6 @@
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\
          \"idleTimeoutMs\":15000}}}}",
         routes.join(","),
-        models.join(",")
+        models.collect::<Vec<_>>().join(",")
     )
 }
