--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod leaving;
 mod memory;
 mod node;
+mod parts;
 mod poison;
 mod record;
 mod roll;
@@ -23,6 +24,7 @@
         Some("turns") => turns::run(has_trouble),
         Some("roll") => roll::run(has_trouble),
         Some("spoilt") => spoilt::run(has_trouble),
+        Some("parts") => parts::run(has_trouble),
         Some("memory") => memory::run(has_trouble),
         Some("poison") => poison::run(has_trouble),
         _ => std::process::exit(2),
--- a/review/standin-2/src/node.rs
+++ b/review/standin-2/src/node.rs
@@ -23,6 +23,9 @@
     pub name: String,
     pub zone: String,
     pub ip: String,
+    /// The address that status checks come from. From the node's own one they could take a port that it
+    /// is about to listen on.
+    pub prober: String,
     pub store: SocketAddr,
     pub bootstrap: bool,
 }
@@ -57,7 +60,7 @@
     }
 
     fn settings(&self) -> String {
-        let NodeConfig { name, zone, ip, store, bootstrap } = &self.cfg;
+        let NodeConfig { name, zone, ip, store, bootstrap, .. } = &self.cfg;
         format!(
             "{{\"vm\":{},\"failure_domain\":{},\"region\":\"riga\",\"failure_domains\":{ZONES},\
              \"callers_listen\":\"{}\",\"readiness_listen\":\"{}\",\"directory_listen\":\"{}\",\
@@ -150,7 +153,7 @@
 
     pub fn is_ready(&self) -> bool {
         let request = b"GET /savoryport/readiness HTTP/1.1\r\nHost: node\r\n\r\n";
-        let answer = exchange(&self.cfg.ip, self.readiness, request, Duration::from_secs(1));
+        let answer = exchange(&self.cfg.prober, self.readiness, request, Duration::from_secs(1));
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -114,8 +114,14 @@
     /// Adds a node that starts with the whole system; `store` is its address of the store.
     pub fn add_node(&mut self, name: &str, zone: &str, store: std::net::SocketAddr) {
         let ip = self.ip(3, self.nodes.len() as u8 + 1);
-        let cfg =
-            NodeConfig { name: name.to_owned(), zone: zone.to_owned(), ip, store, bootstrap: true };
+        let cfg = NodeConfig {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            ip,
+            prober: self.ip(4, 1),
+            store,
+            bootstrap: true,
+        };
         let mut node = Node::new(cfg, &self.dir);
         node.start();
         self.record.line(format!("node {name} starts in {zone}, pid {}", node.pid()));
