Decode the software version of servers and the attempt that a take-up names, and log both

The logs of the incident could not tell its hypotheses apart: no line named the software version that a stream began or went on at, and a take-up looked like a first try. No decision uses the version yet.

--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -260,6 +260,7 @@
         self.cx.metrics.record_request_end(&self.route, outcome, elapsed);
         log::info!(
             request = &*self.head.id, route = &*self.route.name, rank = self.route.rank,
+            resumes = self.head.resumes.as_deref().unwrap_or(""),
             model = model, server = self.last_server.as_deref().unwrap_or(""),
             attempts = self.attempted_servers.len(), outcome = outcome, status = status,
             elapsed_ms = elapsed.as_millis() as u64,
--- a/savoryport/src/node/status.rs
+++ b/savoryport/src/node/status.rs
@@ -33,7 +33,8 @@
             let load = routing.loads.total(&server.id);
             json!({
                 "server": server.id, "service": server.service,
-                "failure_domain": server.failure_domain, "ready": server.is_ready(),
+                "failure_domain": server.failure_domain, "software": server.software,
+                "ready": server.is_ready(),
                 "models": models, "requests": load.running,
                 "prefill_ms": load.prefill_ms.iter().sum::<f32>(),
                 "failure_rate": routing.health.absolute_failure_rate(&server.id),
--- a/savoryport/src/node/store_reader.rs
+++ b/savoryport/src/node/store_reader.rs
@@ -313,9 +313,13 @@
 fn apply_server(state: &mut FleetState, server: savoryport_core::node::registry::BackendServer) {
     let known = state.registry.servers().get(&server.id);
     let former = known.map(|known| (known.state.clone(), known.incarnation));
-    let (id, present) = (server.id.clone(), (server.state.clone(), server.incarnation));
+    let (id, software) = (server.id.clone(), server.software.clone());
+    let present = (server.state.clone(), server.incarnation);
     if state.registry.put(server) && former.as_ref() != Some(&present) {
-        log::info!(server = &*id, state:? = present.0, incarnation = present.1; "server state");
+        log::info!(
+            server = &*id, state:? = present.0, incarnation = present.1, software = &*software;
+            "server state"
+        );
     }
 }
 
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -254,6 +254,7 @@
             };
             log::info!(
                 request = &*self.request.head.id, server = &*selected.server.id,
+                software = &*selected.server.software,
                 after = self.relay.last_forwarded().unwrap_or(0); "stream goes on elsewhere"
             );
             self.request.cx.metrics.resumed_streams.inc();
--- a/savoryport/tests/node_requests.rs
+++ b/savoryport/tests/node_requests.rs
@@ -277,6 +277,7 @@
             ("service", r#""orders""#),
             ("address", r#""127.0.0.1:9""#),
             ("zone", r#""east-a""#),
+            ("version", r#""v1""#),
             ("state", r#""draining""#),
             ("born", "5"),
         ];
@@ -292,6 +293,8 @@
         entry("models", &nested),
         entry("address", r#""127.0.0.1:70000""#),
         entry("address", "70000"),
+        entry("version", "1"),
+        entry("version", "null"),
         entry("born", "1e400"),
         entry("born", "99999999999999999999999999"),
         entry("slots", "-1"),
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -72,6 +72,8 @@
     node_settings: Value,
     /// The failure domain of the nodes and servers that are started next.
     pub failure_domain: &'static str,
+    /// The software version of the servers that are started next.
+    pub software: &'static str,
     /// All failure domains.
     failure_domains: Vec<&'static str>,
     /// The number of servers started so far, from which each gets its own incarnation.
@@ -137,6 +139,7 @@
             max_body_bytes: 100_000,
             node_settings,
             failure_domain: failure_domains[0],
+            software: "v1",
             failure_domains: failure_domains.to_vec(),
             starts: 0,
             _dir: dir,
@@ -246,6 +249,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             failure_domain: self.failure_domain.to_owned(),
+            software: self.software.to_owned(),
             models: models.iter().map(|model| (*model).to_owned()).collect(),
             adapter_capacity: 3,
             model_capacity: 3,
@@ -264,6 +268,7 @@
             id: id.to_owned(),
             service: "drafts".to_owned(),
             failure_domain: self.failure_domain.to_owned(),
+            software: self.software.to_owned(),
             models: vec![model.to_owned()],
             events_per_stream: 8,
             event_interval: Duration::from_millis(10),
@@ -284,6 +289,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             failure_domain: self.failure_domain.to_owned(),
+            software: self.software.to_owned(),
             models: Vec::new(),
             events_per_stream: 0,
             event_interval: Duration::from_millis(15),
--- a/savoryport/tests/node_untrusted_clients.rs
+++ b/savoryport/tests/node_untrusted_clients.rs
@@ -368,8 +368,8 @@
     for (number, listener) in listeners.iter().enumerate() {
         let address = listener.local_addr().expect("a bound socket").to_string();
         let entry = json!({
-            "service": "deaf", "address": address, "zone": "east-a", "slots": 64,
-            "state": "ready", "born": 9_000 + number, "models": [], "sequence": 1,
+            "service": "deaf", "address": address, "zone": "east-a", "version": "v1",
+            "slots": 64, "state": "ready", "born": 9_000 + number, "models": [], "sequence": 1,
         });
         site.site.store.write(&format!("servers/deaf-{number}"), &entry);
         let listener = listener.try_clone().expect("a descriptor");
--- a/savoryport_core/src/node/registry.rs
+++ b/savoryport_core/src/node/registry.rs
@@ -39,6 +39,8 @@
         pub address: SocketAddr,
         /// Its failure domain.
         pub failure_domain: Name,
+        /// The version of its software. What two versions of a service write does not fit together.
+        pub software: Name,
         /// The number of requests that it runs at once.
         pub slots: u32,
         /// Whether it accepts new requests.
--- a/savoryport_core/src/node/request.rs
+++ b/savoryport_core/src/node/request.rs
@@ -73,4 +73,7 @@
     pub generation: Option<Generation>,
     /// The id of the last event that the caller received of an earlier stream.
     pub last_event_id: Option<u64>,
+    /// The id of the caller's attempt that brought the first event of that stream, if the caller
+    /// names it.
+    pub resumes: Option<Name>,
 }
--- a/savoryport_core/tests/node_support/mod.rs
+++ b/savoryport_core/tests/node_support/mod.rs
@@ -20,6 +20,7 @@
         service: "drafts".into(),
         address: ([127, 0, 0, 1], 9_000).into(),
         failure_domain: failure_domain.into(),
+        software: "v1".into(),
         slots: 64,
         state: ServerState::Ready,
         incarnation: 1,
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -24,6 +24,8 @@
     pub service: String,
     /// The failure domain of the server.
     pub failure_domain: String,
+    /// The version of the server's software.
+    pub software: String,
     /// The models that an engine has loaded at the start; empty for a plain service.
     pub models: Vec<String>,
     /// The number of adapters that fit into memory, over all models.
@@ -168,6 +170,7 @@
             "service": self.config.service,
             "address": self.server.address(),
             "zone": self.config.failure_domain,
+            "version": self.config.software,
             "slots": 64,
             "state": state,
             "born": self.incarnation,
--- a/savoryport_standin/src/raw_engine.rs
+++ b/savoryport_standin/src/raw_engine.rs
@@ -28,6 +28,8 @@
     pub service: String,
     /// The failure domain of the engine.
     pub failure_domain: String,
+    /// The version of the engine's software.
+    pub software: String,
     /// The models that it holds; none if it is a server of a plain service.
     pub models: Vec<String>,
     /// The number of events in each stream.
@@ -207,7 +209,8 @@
             (state.id.clone(), state.incarnation)
         };
         let entry = json!({
-            "service": cfg.service, "address": address, "zone": cfg.failure_domain, "slots": 64,
+            "service": cfg.service, "address": address, "zone": cfg.failure_domain,
+            "version": cfg.software, "slots": 64,
             "state": "ready", "born": incarnation, "models": models_json(&cfg.models),
             "sequence": 1,
         });
