--- /dev/null
+++ b/savoryport/tests/node_software_versions.rs
@@ -0,0 +1,263 @@
+//! Servers of several software versions in one service, tested with real node processes: a stream
+//! goes on only at the version that began it.
+
+mod node_site;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use node_site::{NodeSite, RequestKind};
+use rustix::process::Signal;
+use savoryport_standin::backend::BackendFault;
+
+/// The model that only the servers of these tests hold.
+const MODEL: &str = "m3";
+
+/// The time between two events of a stream, of which there are eight.
+const EVENT_INTERVAL: Duration = Duration::from_millis(150);
+
+/// How long a caller tries to take up a stream.
+const TAKE_UP_TIME: Duration = Duration::from_secs(6);
+
+/// Starts nodes, and two servers of each of two software versions.
+fn start(nodes: usize) -> NodeSite {
+    let mut site = NodeSite::start(nodes);
+    site.models.push((MODEL, 0.4));
+    site.write_config();
+    add_servers(&mut site, "v1");
+    add_servers(&mut site, "v2");
+    site.wait_for_servers(&["v1-0", "v1-1", "v2-0", "v2-1"]);
+    for node in 0..nodes {
+        site.wait_until("streams begin", |site| {
+            begin(site, node, "warm").is_some_and(|stream| stream.status == 200)
+        });
+    }
+    site
+}
+
+fn add_servers(site: &mut NodeSite, software: &'static str) {
+    site.software = software;
+    for number in 0..2 {
+        let id = format!("{software}-{number}");
+        site.add_server_with_interval(&id, "drafts", &[MODEL], EVENT_INTERVAL);
+    }
+}
+
+/// A stream of which the caller has received some events.
+struct Stream {
+    status: u16,
+    /// The software version of the server that began it.
+    software: String,
+    events: Vec<u64>,
+    reader: BufReader<TcpStream>,
+}
+
+/// Begins a stream for a request, or takes one up; `taken_up` has the first attempt and the last event.
+fn open(site: &NodeSite, node: usize, id: &str, taken_up: Option<(&str, u64)>) -> Option<Stream> {
+    let mut socket = TcpStream::connect(&site.nodes[node].callers).ok()?;
+    socket.set_read_timeout(Some(Duration::from_secs(8))).ok()?;
+    let resumption = taken_up
+        .map(|(first, event)| format!("Resumes: {first}\r\nLast-Event-Id: {event}\r\n"))
+        .unwrap_or_default();
+    let content = taken_up.map_or(id, |(first, _)| first);
+    // No two requests share a part of their prompts, so that they spread over the servers.
+    let part: u32 = content.bytes().fold(1, |hash, byte| hash * 31 % 65_521 + u32::from(byte));
+    write!(
+        socket,
+        "POST /draft/{content} HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: {id}\r\n\
+         X-Deadline-Ms: 8000\r\nX-Model: {MODEL}\r\nX-Token-Counts: 100,8\r\n\
+         X-Prompt-Prefix: {part:x}:60,{part:x}1:40\r\nConnection: close\r\n{resumption}\
+         Content-Length: 5\r\n\r\ndraft"
+    )
+    .ok()?;
+    let mut reader = BufReader::new(socket);
+    let mut line = String::new();
+    reader.read_line(&mut line).ok()?;
+    let status = line.split(' ').nth(1)?.parse().ok()?;
+    let mut software = String::new();
+    loop {
+        line.clear();
+        reader.read_line(&mut line).ok()?;
+        if let Some(stamp) = line.to_ascii_lowercase().strip_prefix("x-server-stamp: stamp.") {
+            software = stamp.split('-').next().unwrap_or_default().to_owned();
+        }
+        if line.trim().is_empty() {
+            return Some(Stream { status, software, events: Vec::new(), reader });
+        }
+    }
+}
+
+fn begin(site: &NodeSite, node: usize, id: &str) -> Option<Stream> {
+    open(site, node, id, None)
+}
+
+impl Stream {
+    /// Reads events until this one, or until the stream ends.
+    fn read_until(&mut self, last: u64) {
+        let mut line = String::new();
+        while self.events.last().is_none_or(|event| *event < last) {
+            line.clear();
+            if !matches!(self.reader.read_line(&mut line), Ok(1..)) {
+                return;
+            }
+            if let Some(event) = line.strip_prefix("id: ") {
+                self.events.extend(event.trim().parse::<u64>());
+            }
+        }
+    }
+
+    fn read_to_end(&mut self) {
+        self.read_until(u64::MAX);
+        let _ = self.reader.read_to_end(&mut Vec::new());
+    }
+}
+
+/// A stream that was cut off, as its caller knows it.
+struct Cut {
+    id: String,
+    software: String,
+    last_event: u64,
+}
+
+/// Begins streams at all nodes and reads two events of each.
+fn begin_streams(site: &NodeSite, count: usize) -> Vec<(String, Stream)> {
+    let mut streams = Vec::new();
+    for number in 0..count {
+        let id = format!("begun-{number}");
+        let stream = begin(site, number % site.nodes.len(), &id);
+        let stream = stream.filter(|stream| stream.status == 200).expect("a stream begins");
+        streams.push((id, stream));
+    }
+    streams.iter_mut().for_each(|(_, stream)| stream.read_until(2));
+    for software in ["v1", "v2"] {
+        let count = streams.iter().filter(|(_, stream)| stream.software == software).count();
+        assert!(count > 0, "none of {} streams began at {software}", streams.len());
+    }
+    streams
+}
+
+fn cut(streams: Vec<(String, Stream)>) -> Vec<Cut> {
+    let cut = streams.into_iter().map(|(id, mut stream)| {
+        stream.read_to_end();
+        let last_event = stream.events.last().copied().expect("events came");
+        Cut { id, software: stream.software, last_event }
+    });
+    cut.filter(|cut| cut.last_event < 8).collect()
+}
+
+/// Takes up a stream as callers do, with a new attempt after each refusal. Returns the software version
+/// that it went on at.
+fn take_up(site: &NodeSite, node: usize, cut: &Cut) -> Option<String> {
+    let began = Instant::now();
+    for attempt in 0.. {
+        let id = format!("{}-again-{attempt}", cut.id);
+        let taken_up = open(site, node, &id, Some((&cut.id, cut.last_event)));
+        if let Some(mut stream) = taken_up.filter(|stream| stream.status == 200) {
+            stream.read_to_end();
+            let is_whole = stream.events == (cut.last_event + 1..=8).collect::<Vec<_>>();
+            assert!(is_whole, "{}: {:?} after {}", cut.id, stream.events, cut.last_event);
+            return Some(stream.software);
+        }
+        if began.elapsed() > TAKE_UP_TIME {
+            return None;
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    None
+}
+
+/// Takes up these streams at once, each at a node other than the one that began it; returns for how
+/// many the version was the same, another one, or none since they were refused.
+fn take_up_all(site: &NodeSite, cuts: &[Cut]) -> (usize, usize, usize) {
+    let results: Vec<_> = std::thread::scope(|scope| {
+        let tasks: Vec<_> = cuts
+            .iter()
+            .enumerate()
+            .map(|(number, cut)| {
+                let node = (number + 1) % site.nodes.len();
+                scope.spawn(move || take_up(site, node, cut).map(|now| now == cut.software))
+            })
+            .collect();
+        tasks.into_iter().map(|task| task.join().expect("the caller's thread ends")).collect()
+    });
+    let count = |wanted| results.iter().filter(|result| **result == wanted).count();
+    (count(Some(true)), count(Some(false)), count(None))
+}
+
+fn kill_all(site: &mut NodeSite) {
+    site.nodes.iter().for_each(|node| node.signal(Signal::KILL));
+    for node in &mut site.nodes {
+        node.wait_for_exit();
+    }
+}
+
+fn start_all(site: &mut NodeSite) {
+    site.nodes.iter_mut().for_each(node_site::SiteNode::start);
+    site.wait_until("the nodes are ready", |site| {
+        site.nodes.iter().all(node_site::SiteNode::is_ready)
+    });
+}
+
+/// Guards against a stream that is resumed within one answer at another software version.
+#[test]
+fn a_broken_stream_does_not_go_on_at_another_software_version() {
+    let site = start(1);
+    site.server("v1-1").deregister();
+    site.server("v2-1").deregister();
+    site.server("v1-0").set_fault(BackendFault::BreaksStreams);
+    site.wait_until("one server of each version is left", |site| {
+        ["v1-1", "v2-1"].iter().all(|id| site.nodes[0].server_status(id).is_null())
+    });
+    let began_at_v1: Vec<_> = (0..24)
+        .map(|number| site.send(0, &format!("broken-{number}"), RequestKind::Stream(MODEL)))
+        .filter(|response| response.server_stamp.as_deref() == Some("stamp.v1-0"))
+        .collect();
+    assert!(!began_at_v1.is_empty(), "no stream began at v1");
+    let whole = began_at_v1.iter().filter(|response| response.body.is_some()).count();
+    assert_eq!(whole, 0, "of {} streams that broke off", began_at_v1.len());
+}
+
+/// Guards against a take-up that is routed as a new request, after the node that began the stream died.
+#[test]
+fn a_stream_taken_up_at_another_node_goes_on_at_the_version_that_began_it() {
+    let mut site = start(2);
+    let streams = begin_streams(&site, 16);
+    std::thread::sleep(EVENT_INTERVAL * 2);
+    site.nodes[0].signal(Signal::KILL);
+    site.nodes[0].wait_for_exit();
+    let cuts = cut(streams);
+    site.nodes[0].start();
+    let (same, other, refused) = take_up_all(&site, &cuts);
+    assert_eq!(other, 0, "of {} streams", cuts.len());
+    assert!(same > cuts.len() / 2, "{refused} of {} streams refused", cuts.len());
+}
+
+/// Guards against nodes that forget at once which version began which stream.
+#[test]
+fn streams_taken_up_after_a_loss_of_all_nodes_are_not_joined_from_two_versions() {
+    let mut site = start(2);
+    let streams = begin_streams(&site, 16);
+    std::thread::sleep(EVENT_INTERVAL * 2);
+    kill_all(&mut site);
+    let cuts = cut(streams);
+    start_all(&mut site);
+    let (same, other, refused) = take_up_all(&site, &cuts);
+    assert_eq!(other, 0, "of {} streams", cuts.len());
+    assert!(same > cuts.len() / 2, "{refused} of {} streams refused", cuts.len());
+}
+
+/// Guards against nodes that conclude from the only version in service that there was no other one.
+#[test]
+fn streams_of_a_version_that_left_while_all_nodes_were_away_do_not_go_on() {
+    let mut site = start(2);
+    let streams = begin_streams(&site, 16);
+    std::thread::sleep(EVENT_INTERVAL * 2);
+    kill_all(&mut site);
+    let cuts = cut(streams);
+    site.server("v1-0").deregister();
+    site.server("v1-1").deregister();
+    start_all(&mut site);
+    let (_, other, _) = take_up_all(&site, &cuts);
+    assert_eq!(other, 0, "of {} streams", cuts.len());
+}
