Keep streams at the software version that began them

Cause: the version in servers' entries was not decoded, a broken stream was resumed at any server of the service, and a take-up was routed as a new request, whatever began it. Class: state that a later message depends on was left out, and would have been lost with the memory of one node.

A stream is bound to the version whose events its caller has. Within an answer only servers of that version go on with it. A node remembers the streams that it began. While a service has servers of several versions, or had them until a stream can no longer be taken up, nodes tell their leader, leaders tell each other and write batches to the store, each a tenth of a second at most; a node that has lost its memory reads them, and the versions that there were, before it knows a server. A stream that nobody knows is refused as not run while versions mix, and while a node that is cut off may have missed a version. Outside of that nothing is sent, written or refused.

--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -1,5 +1,6 @@
 //! The state that the tasks of a node share.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -29,6 +30,7 @@
 use super::settings::NodeSettings;
 use super::store_reader::StoreHealth;
 use super::stream::StreamMemory;
+use super::stream_origins::SharedStreamOrigins;
 use super::team_quota::NodeQuotas;
 use super::view::Member;
 use crate::connection_limit::Connections;
@@ -67,6 +69,10 @@
     pub crash_archive: Mutex<CrashArchive>,
     /// Notified when this node sees a crash, which its leader should learn of at once.
     pub crash_seen: Notify,
+    /// The software versions of servers and of the streams that began at them.
+    pub stream_origins: SharedStreamOrigins,
+    /// Whether the leader of this node's failure domain no longer answers it.
+    pub is_leader_lost: AtomicBool,
     /// The moment as of which the configuration is known to be the newest one.
     pub config_age: Mutex<ConfigAge>,
     /// What teams have left of their quotas.
--- a/savoryport/src/node/crash_archive.rs
+++ b/savoryport/src/node/crash_archive.rs
@@ -84,7 +84,7 @@
 
 /// Returns the number of leaders that write before this one, by the names of their failure domains;
 /// `None` if it leads none.
-fn count_leaders_before(cx: &NodeContext) -> Option<u32> {
+pub(super) fn count_leaders_before(cx: &NodeContext) -> Option<u32> {
     let own = cx.controllers.all().into_iter().map(|controller| controller.domain.clone()).min()?;
     let is_before = |(domain, vm): (&_, &_)| *domain < own && *vm != cx.settings.vm;
     cx.fleet.read(|state| {
--- a/savoryport/src/node/exchange.rs
+++ b/savoryport/src/node/exchange.rs
@@ -6,6 +6,7 @@
 
 use savoryport_core::Name;
 use savoryport_core::node::load::ServerLoad;
+use savoryport_core::node::stream_origins::OriginSource;
 use savoryport_core::node::team_quota::{Recipient, Reporter};
 
 use super::config_age::{confirm_config_of_peer, trusted_era};
@@ -15,6 +16,7 @@
 use super::request_quarantine::{merge_request_crashes, request_crashes_since};
 use super::rpc::{Role, SyncPosition, SyncRequest};
 use super::server_limits::{limits_since, merge_limits};
+use super::stream_origins::origins_since;
 use super::sync::fetch_config;
 use super::team_quota::{record_team_use, team_use_report};
 use super::view::DomainLeader;
@@ -36,6 +38,8 @@
     sent_team_use: u64,
     /// The revision of its totals of that use that this node has.
     have_team_use: u64,
+    /// The revision up to which it knows the streams that began in this failure domain.
+    sent_origins: u64,
 }
 
 /// Exchanges loads and changes with the leaders of other failure domains while this node leads one.
@@ -85,6 +89,7 @@
     add_loads(&mut loads, cx.routing.lock().loads.own());
     let (revision, limits) = limits_since(cx, have.sent_limits);
     let (crashes_revision, request_crashes) = request_crashes_since(cx, have.sent_request_crashes);
+    let (origins_revision, origins) = origins_since(cx, have.sent_origins, OriginSource::Follower);
     let team_use =
         team_use_report(cx, Recipient::OtherLeader, have.sent_team_use, have.have_team_use);
     let team_use_revision = team_use.as_ref().map_or(0, |report| report.revision);
@@ -107,6 +112,7 @@
         limits,
         request_crashes,
         team_use,
+        origins,
     };
     let exchange = async {
         let connection = cx.peers.get_or_connect(leader.peers).await?;
@@ -148,6 +154,7 @@
     let sent_limits = if is_same_tenure { revision } else { 0 };
     let sent_request_crashes = if is_same_tenure { crashes_revision } else { 0 };
     let sent_team_use = if is_same_tenure { team_use_revision } else { 0 };
+    let sent_origins = if is_same_tenure { origins_revision } else { 0 };
     let have_team_use = reply.team_use.as_ref().map_or(0, |report| report.revision);
     Some(Position {
         sync: reply.position,
@@ -156,5 +163,6 @@
         sent_request_crashes,
         sent_team_use,
         have_team_use,
+        sent_origins,
     })
 }
--- a/savoryport/src/node/explain_route.rs
+++ b/savoryport/src/node/explain_route.rs
@@ -137,6 +137,8 @@
             deployment: deployment.clone(),
             route: route.clone(),
             service: service.clone(),
+            stream: None,
+            software: None,
             head,
             identity: RequestIdentity { content: 0, caller: 0 },
             prefix_keys,
--- a/savoryport/src/node/metrics.rs
+++ b/savoryport/src/node/metrics.rs
@@ -97,6 +97,10 @@
     pub cut_events: Counter,
     /// Events of resumable streams that did not follow the one before.
     pub spoiled_events: Counter,
+    /// Requests that were refused since nobody knew which software version began their streams.
+    pub unknown_origins: Counter,
+    /// Writes of streams and their software versions to the store.
+    pub origin_writes: Counter,
     /// Servers that crashed while requests of this node waited for their first events.
     pub server_crashes: Counter,
     /// Records of crashes written to the store.
@@ -164,6 +168,8 @@
             resumed_streams: Counter::default(),
             cut_events: Counter::default(),
             spoiled_events: Counter::default(),
+            unknown_origins: Counter::default(),
+            origin_writes: Counter::default(),
             crash_writes: Counter::default(),
             crash_write_failures: Counter::default(),
             server_crashes: Counter::default(),
@@ -280,6 +286,16 @@
             "Events that did not follow the one before",
             self.spoiled_events.clone(),
         );
+        registry.register(
+            "unknown_origins",
+            "Streams not taken up since their software version was not known",
+            self.unknown_origins.clone(),
+        );
+        registry.register(
+            "origin_writes",
+            "Writes of streams and their software versions to the store",
+            self.origin_writes.clone(),
+        );
         registry.register(
             "crash_writes",
             "Records of crashes written to the store",
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -48,6 +48,7 @@
 mod status;
 pub mod store_reader;
 mod stream;
+mod stream_origins;
 mod sync;
 mod team_quota;
 pub mod view;
@@ -86,6 +87,7 @@
 use self::settings::NodeSettings;
 use self::store_reader::StoreHealth;
 use self::stream::StreamMemory;
+use self::stream_origins::SharedStreamOrigins;
 use self::team_quota::NodeQuotas;
 use self::view::Member;
 use crate::connection_limit::{ConnectionLimits, Connections};
@@ -145,6 +147,7 @@
     tokio::spawn(sync::follow(cx.clone(), read_store_tx));
     tokio::spawn(exchange::exchange(cx.clone()));
     tokio::spawn(crash_archive::run(cx.clone()));
+    tokio::spawn(stream_origins::run(cx.clone()));
     tokio::spawn(directory::accept(cx.clone(), directory, "directory"));
     tokio::spawn(directory::accept(cx.clone(), readiness, "readiness"));
     tokio::spawn(callers::accept(cx.clone(), callers));
@@ -267,6 +270,8 @@
         controllers: DomainControllers::default(),
         crash_archive: Mutex::default(),
         crash_seen: Notify::new(),
+        stream_origins: SharedStreamOrigins::default(),
+        is_leader_lost: AtomicBool::new(false),
         config_age: Mutex::default(),
         quotas: Mutex::new(NodeQuotas::new(tenure.max(1), lease_clock.now())),
         metrics,
--- a/savoryport/src/node/peer_server.rs
+++ b/savoryport/src/node/peer_server.rs
@@ -12,6 +12,7 @@
 use savoryport_core::node::load::ServerLoad;
 use savoryport_core::node::request_quarantine::RequestCrashReport;
 use savoryport_core::node::server_limit::{LimitReport, Permit, PermitUse};
+use savoryport_core::node::stream_origins::{OriginReport, OriginSource};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
@@ -30,6 +31,7 @@
 };
 use super::server_limits::{decide_permit, limits_since, merge_limits};
 use super::store_reader::accept_config;
+use super::stream_origins::{self, merge_origins};
 use super::team_quota::answer_team_use;
 use super::view::AcceptedConfig;
 use crate::connection_limit::{ConnectionLimits, Connections};
@@ -244,6 +246,11 @@
         let known_limits = if req.have.tenure == cx.tenure { req.have.limits } else { 0 };
         let (limits_revision, limits) = limits_since(cx, known_limits);
         merge_request_crashes(cx, &req.request_crashes);
+        let source = match req.role {
+            Role::Follower => OriginSource::Follower,
+            Role::Holder => OriginSource::Elsewhere,
+        };
+        merge_origins(cx, &req.origins, source);
         let known_crashes = if req.have.tenure == cx.tenure { req.have.request_crashes } else { 0 };
         let (crashes_revision, request_crashes) = request_crashes_since(cx, known_crashes);
         let team_use = answer_team_use(cx, &req);
@@ -327,6 +334,10 @@
         merge_request_crashes(&self.cx, &reports);
         request_crashes_since(&self.cx, 0).1
     }
+
+    async fn find_streams(self, _: Context, streams: Vec<u64>) -> Vec<OriginReport> {
+        stream_origins::find_streams(&self.cx, &streams)
+    }
 }
 
 /// Returns the number of requests in flight at this node and its followers.
--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -56,6 +56,10 @@
     pub(super) route: Route,
     pub(super) service: Name,
     pub(super) head: RequestHead,
+    /// What the attempts at a stream have in common; `None` if the attempt that began it is not named.
+    pub(super) stream: Option<u64>,
+    /// The software version that the stream is bound to, once events of it have reached the caller.
+    pub(super) software: Option<Name>,
     pub(super) identity: RequestIdentity,
     /// What the request used of its team's quota, if it has a team.
     pub(super) quota_charge: Option<QuotaCharge>,
@@ -142,6 +146,11 @@
         }
         self.record_demand();
         let answer_now = self.cx.answer_now.clone();
+        match answer_now.run_until_cancelled(self.bind_to_origin()).await {
+            Some(Ok(())) => {}
+            Some(Err(refusal)) => return self.finish_with_refusal(refusal),
+            None => return self.finish_because_of_stop(),
+        }
         loop {
             let selected = match answer_now.run_until_cancelled(self.select_server()).await {
                 Some(Ok(selected)) => selected,
@@ -261,6 +270,7 @@
         log::info!(
             request = &*self.head.id, route = &*self.route.name, rank = self.route.rank,
             resumes = self.head.resumes.as_deref().unwrap_or(""),
+            software = self.software.as_deref().unwrap_or(""),
             model = model, server = self.last_server.as_deref().unwrap_or(""),
             attempts = self.attempted_servers.len(), outcome = outcome, status = status,
             elapsed_ms = elapsed.as_millis() as u64,
--- a/savoryport/src/node/receive.rs
+++ b/savoryport/src/node/receive.rs
@@ -23,6 +23,7 @@
 use super::proxy::ProxyRequest;
 use super::request_body::Unread;
 use super::response::{Refusal, RefusalCause};
+use super::stream_origins::stream_of;
 use super::team_quota::QuotaCharge;
 
 impl ProxyRequest {
@@ -77,6 +78,7 @@
                 return Err(refusal);
             }
         };
+        let stream = stream_of(&head, team.as_ref().map(|team| &*team.name));
         let quota_charge = match &team {
             Some(team) => {
                 Some(QuotaCharge::take(&cx, &deployment, team, head.generation.as_ref())?)
@@ -99,6 +101,8 @@
             route,
             service,
             head,
+            stream,
+            software: None,
             identity,
             quota_charge,
             prefix_keys,
--- a/savoryport/src/node/response.rs
+++ b/savoryport/src/node/response.rs
@@ -51,6 +51,10 @@
     NoModel,
     /// No server has room for the adapter.
     NoAdapter,
+    /// The request takes up a stream of which nobody knows the software version.
+    VersionUnknown,
+    /// No server of the software version that began the stream can go on with it.
+    NoVersion,
     /// The first token is expected too late to be of use.
     Overload,
     /// The servers that could take the request name limits, which are used up.
@@ -86,6 +90,8 @@
             Self::NoServer => "no-server",
             Self::NoModel => "no-model",
             Self::NoAdapter => "no-adapter",
+            Self::VersionUnknown => "version-unknown",
+            Self::NoVersion => "no-version",
             Self::Overload => "overload",
             Self::Limited => "limited",
             Self::Quarantined => "quarantined",
@@ -108,6 +114,8 @@
             | Self::NoServer
             | Self::NoModel
             | Self::NoAdapter
+            | Self::VersionUnknown
+            | Self::NoVersion
             | Self::Overload
             | Self::Limited
             | Self::Quarantined
--- a/savoryport/src/node/rpc.rs
+++ b/savoryport/src/node/rpc.rs
@@ -14,6 +14,7 @@
 use savoryport_core::node::request::PrefixKeys;
 use savoryport_core::node::request_quarantine::RequestCrashReport;
 use savoryport_core::node::server_limit::{LimitReport, Permit, PermitUse};
+use savoryport_core::node::stream_origins::OriginReport;
 use savoryport_core::node::team_quota::TeamUseReport;
 use serde::{Deserialize, Serialize};
 use tarpc::tokio_serde::formats::Bincode;
@@ -136,6 +137,9 @@
     /// What its own requests used of teams' quotas; from a leader, those of its whole failure domain.
     /// `None` where no team has a quota.
     pub team_use: Option<TeamUseReport>,
+    /// The streams that it began since the last call at services with several software versions; from a
+    /// leader, those of its whole failure domain.
+    pub origins: Vec<OriginReport>,
 }
 
 /// The nodes that callers may use, and the leaders by failure domain.
@@ -208,6 +212,8 @@
     /// Takes all crashes that the calling node knows of with the requests that were at them, and
     /// returns those that the called node knows of.
     async fn swap_request_crashes(reports: Vec<RequestCrashReport>) -> Vec<RequestCrashReport>;
+    /// Returns what the called node knows of these streams.
+    async fn find_streams(streams: Vec<u64>) -> Vec<OriginReport>;
 }
 
 /// A failed call to another node.
@@ -335,6 +341,20 @@
         reply.map_err(|err| self.call_error(&err))
     }
 
+    /// Calls [`Peer::find_streams`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call fails or times out.
+    pub async fn find_streams(
+        &self,
+        streams: Vec<u64>,
+        timeout: Duration,
+    ) -> Result<Vec<OriginReport>, PeerError> {
+        let reply = self.client.find_streams(call_context(timeout), streams).await;
+        reply.map_err(|err| self.call_error(&err))
+    }
+
     fn call_error(&self, err: &client::RpcError) -> PeerError {
         PeerError { address: self.address, problem: err.to_string() }
     }
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -148,6 +148,9 @@
                     tokio::time::sleep(ADAPTER_ROOM_POLL).await;
                     servers_without_room.clear();
                 }
+                Selection::NoModel | Selection::NoServer if self.is_bound_among_versions() => {
+                    return Err(self.retry_later(RefusalCause::NoVersion));
+                }
                 Selection::NoModel if !waited_for_model => {
                     self.await_model().await?;
                     self.queued_since = self.cx.now();
@@ -334,10 +337,20 @@
         shortest
     }
 
-    /// Returns the ready servers that hold the model; all of the service if no model is asked for.
+    /// Returns the ready servers that hold the model and fit the stream's software; all of these if no
+    /// model is asked for.
     fn holders<'a>(&'a self, view: &'a FleetView) -> impl Iterator<Item = &'a Arc<BackendServer>> {
         let model = self.head.generation.as_ref().map(|generation| &generation.model);
-        self.ready_servers(view).filter(move |server| model.is_none_or(|model| server.holds(model)))
+        self.ready_servers(view).filter(move |server| {
+            self.fits_software(server) && model.is_none_or(|model| server.holds(model))
+        })
+    }
+
+    /// Returns whether the stream is bound to a software version and there are servers of another one,
+    /// at which the model of the request could be loaded.
+    fn is_bound_among_versions(&self) -> bool {
+        let view = self.cx.fleet.view();
+        self.ready_servers(&view).any(|server| !self.fits_software(server))
     }
 
     /// Selects a server only to find out whether its limit is still in force, if that is due.
@@ -485,6 +498,9 @@
             if was_tried(server) {
                 return Err("was tried");
             }
+            if !self.fits_software(server) {
+                return Err("has other software than the stream");
+            }
             if !routing.notices.allow(&server.id, server.incarnation, now) {
                 return Err("wants no requests");
             }
--- a/savoryport/src/node/store_reader.rs
+++ b/savoryport/src/node/store_reader.rs
@@ -17,6 +17,7 @@
 use super::context::NodeContext;
 use super::crash_archive;
 use super::fleet::FleetState;
+use super::stream_origins;
 use super::view::{AcceptedConfig, DomainLeader};
 
 /// Prefix of the keys in the store that name the leaders, one for each failure domain.
@@ -229,8 +230,10 @@
                 // Servers write the entries again that the copy lacks.
                 cx.store_health.record_return(cx.now());
             }
-            // Before the servers, so that no request reaches them that is known to crash them.
+            // Before the servers, so that no request reaches them that is known to crash them, or that
+            // takes up a stream of other software.
             crash_archive::apply_listing(cx, &listing.entries);
+            stream_origins::apply_listing(cx, &listing.entries);
             apply_listing(cx, listing, went_back)
         }
         Some(after) => {
@@ -238,6 +241,7 @@
             let changes = cx.store.watch("", after, wait).await?;
             record_answer(cx);
             crash_archive::apply_changes(cx, &changes.changes);
+            stream_origins::apply_changes(cx, &changes.changes);
             apply_changes(cx, changes.changes);
             changes.revision.max(after)
         }
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -12,6 +12,7 @@
 use savoryport_adapter::servers::{keep_alive_timeout, strip_connection_headers};
 use savoryport_core::node::deployment::RequestKind;
 use savoryport_core::node::health::ServerOutcome;
+use savoryport_core::node::registry::BackendServer;
 use tokio::sync::mpsc;
 
 use super::event_relay::{EventRelay, Relayed};
@@ -127,6 +128,8 @@
     /// resumed.
     boundary: EventBoundary,
     is_resumable: bool,
+    /// The current server.
+    server: Arc<BackendServer>,
     /// Whether the current server has sent a complete event.
     is_answering: bool,
 }
@@ -150,6 +153,7 @@
     let forwarder = StreamForwarder {
         is_resumable: request.route.kind == RequestKind::Stream { resumable: true },
         relay: EventRelay::new(request.head.last_event_id),
+        server: selected.server.clone(),
         is_answering: false,
         boundary: EventBoundary::default(),
         chunks,
@@ -209,6 +213,7 @@
                     drop(opened);
                     self.request.record_outcome(&selected.server.id, ServerOutcome::Unreachable);
                     (opened, selected) = *next;
+                    self.start_server(&selected);
                     continue;
                 }
                 StreamEnd::Interrupted => {}
@@ -224,16 +229,25 @@
             self.request.record_outcome(&selected.server.id, ServerOutcome::Unreachable);
             match answer_now.run_until_cancelled(self.resume()).await.flatten() {
                 Some((next_opened, next_selected)) => {
-                    (opened, selected) = (next_opened, next_selected)
+                    (opened, selected) = (next_opened, next_selected);
+                    self.start_server(&selected);
                 }
                 None => return self.request.log_end("broken-off", status, None),
             }
         }
     }
 
+    /// Drops what is incomplete, since another server resumes the stream.
+    fn start_server(&mut self, selected: &SelectedServer) {
+        self.relay.start_server();
+        self.is_answering = false;
+        self.server = selected.server.clone();
+    }
+
     /// Resumes the stream at another server, if the request allows that.
     async fn resume(&mut self) -> Option<(OpenedResponse, SelectedServer)> {
-        if !self.may_resume() {
+        let is_bound = self.request.software.is_some();
+        if !self.may_resume() || is_bound && self.request.is_origin_in_doubt(&self.server) {
             return None;
         }
         while self.may_resume() && !self.request.remaining_time().is_zero() {
@@ -264,8 +278,6 @@
                 () = self.chunks.closed() => return None,
             };
             if let Some(opened) = opened {
-                self.relay.start_server();
-                self.is_answering = false;
                 return Some((opened, selected));
             }
         }
@@ -476,6 +488,7 @@
     fn record_answer(&mut self) {
         if !std::mem::replace(&mut self.is_answering, true) {
             self.request.record_answer();
+            self.request.record_origin(&self.server);
         }
     }
 
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -9,6 +9,7 @@
 use savoryport_core::Name;
 use savoryport_core::node::request_quarantine::RequestCrashReport;
 use savoryport_core::node::server_limit::LimitReport;
+use savoryport_core::node::stream_origins::{OriginReport, OriginSource};
 use savoryport_core::node::team_quota::{Recipient, Reporter, TeamUseReport};
 use tokio::sync::watch;
 
@@ -22,6 +23,7 @@
 use super::rpc::{NO_SERVERS_WANTED, PeerError, Role, SyncPosition, SyncReply, SyncRequest};
 use super::server_limits::{limits_since, merge_limits};
 use super::store_reader::{accept_config, expire_servers};
+use super::stream_origins::{MIXED_SYNC_PERIOD, confirm_servers, origins_since, versions_mix};
 use super::team_quota::{record_team_use, team_use_report, update_quotas};
 use super::view::{AcceptedConfig, DomainLeader};
 
@@ -81,6 +83,8 @@
     sent_team_use: u64,
     /// The revision of the leader's totals of that use that this node has.
     have_team_use: u64,
+    /// The revision up to which the leader knows the streams that this node began.
+    sent_origins: u64,
     /// Since when calls have failed.
     failing_since: Option<Instant>,
     /// Whether the leader counts as lost.
@@ -103,6 +107,7 @@
             self.sent_limits = 0;
             self.sent_request_crashes = 0;
             self.sent_team_use = 0;
+            self.sent_origins = 0;
         }
         if applied_servers {
             self.has_servers = true;
@@ -125,6 +130,7 @@
     limits: Vec<LimitReport>,
     request_crashes: Vec<RequestCrashReport>,
     team_use: Option<TeamUseReport>,
+    origins: Vec<OriginReport>,
 }
 
 /// Follows the leader of this node's failure domain. `read_store` tells the store reader whether
@@ -169,7 +175,8 @@
     let is_idle = cx.routing.lock().loads.own().is_empty();
     let per_node = if is_idle { IDLE_PERIOD_PER_NODE } else { PERIOD_PER_NODE };
     let shortest = Duration::from_millis(cx.settings.sync_period_ms);
-    (per_node * nodes_in_domain(cx)).min(MAX_SYNC_PERIOD).max(shortest)
+    let longest = if versions_mix(cx) { MIXED_SYNC_PERIOD } else { MAX_SYNC_PERIOD };
+    (per_node * nodes_in_domain(cx)).min(longest).max(shortest)
 }
 
 fn nodes_in_domain(cx: &NodeContext) -> u32 {
@@ -197,6 +204,7 @@
     };
     if following.leader.as_ref() != Some(&leader) {
         *following = Following { leader: Some(leader.clone()), ..Following::default() };
+        cx.is_leader_lost.store(false, Ordering::Relaxed);
     }
     let (called_at, asked_at) = (cx.now(), cx.lease_clock.now());
     let (revision, limits) = limits_since(cx, following.sent_limits);
@@ -206,12 +214,14 @@
     let team_use =
         team_use_report(cx, Recipient::OwnLeader, following.sent_team_use, have_team_use);
     let team_use_revision = team_use.as_ref().map_or(0, |report| report.revision);
-    let news = OwnNews { limits, request_crashes, team_use };
+    let (origins_revision, origins) = origins_since(cx, following.sent_origins, OriginSource::Own);
+    let news = OwnNews { limits, request_crashes, team_use, origins };
     match call_leader(cx, following, &leader, applies_servers, news).await {
         Ok(reply) => {
             following.sent_limits = revision;
             following.sent_request_crashes = crashes_revision;
             following.sent_team_use = team_use_revision;
+            following.sent_origins = origins_revision;
             following.have_team_use = reply.team_use.as_ref().map_or(0, |report| report.revision);
             let reporter = Reporter::OwnLeader(leader.vm.clone());
             record_team_use(cx, &reporter, reply.team_use.as_ref(), asked_at);
@@ -219,6 +229,7 @@
                 log::info!(holder = &*leader.vm; "holder regained");
             }
             (following.failing_since, following.is_lost) = (None, false);
+            cx.is_leader_lost.store(false, Ordering::Relaxed);
             fetch_config(cx, &leader, &following.fetching, reply.position.config);
             confirm_config_of_peer(cx, reply.position.config, reply.config_age, asked_at);
             offer_config(cx, &leader, &following.fetching, reply.position.config);
@@ -232,6 +243,7 @@
                 log::warn!(holder = &*leader.vm, err:% = err; "holder lost");
                 following.start_reading(cx);
             }
+            cx.is_leader_lost.store(following.is_lost, Ordering::Relaxed);
             cx.peers.remove(leader.peers);
             if following.is_lost {
                 swap_with_another_domain(cx);
@@ -283,6 +295,7 @@
         limits: news.limits,
         request_crashes: news.request_crashes,
         team_use: news.team_use,
+        origins: news.origins,
     }
 }
 
@@ -302,6 +315,9 @@
     following.crash_digest = Some(merge_crashes(cx, &reply.crashes));
     merge_limits(cx, &reply.limits);
     merge_request_crashes(cx, &reply.request_crashes);
+    if applies_servers {
+        confirm_servers(cx);
+    }
     cx.fleet.update(|state| {
         if applies_servers {
             state.apply_servers(&reply);
--- a/savoryport_core/src/node/deployment.rs
+++ b/savoryport_core/src/node/deployment.rs
@@ -9,6 +9,13 @@
 use crate::Name;
 use crate::node::team::TeamDirectory;
 
+/// The shortest time for which a stream may be taken up; the next configuration may allow a longer one
+/// than the one in force.
+pub const MIN_STREAM_LIFETIME: Duration = Duration::from_secs(10);
+
+/// The longest time for which a stream may be taken up.
+pub const MAX_STREAM_LIFETIME: Duration = Duration::from_secs(120);
+
 /// Whether and how a request may be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RequestKind {
@@ -188,6 +195,21 @@
         self.services.get(service)?.engine.as_ref()?.models.get(model)
     }
 
+    /// Returns for each service how long after its first event a stream may be taken up: it runs for the
+    /// timeout of its route at most, and its caller takes it up within that time again.
+    pub fn stream_lifetimes(&self) -> BTreeMap<Name, Duration> {
+        let mut lifetimes: BTreeMap<Name, Duration> =
+            self.services.keys().map(|service| (service.clone(), MIN_STREAM_LIFETIME)).collect();
+        for route in self.routes.values().flatten().filter(|route| route.kind.is_stream()) {
+            let lifetime = (route.timeout * 2).min(MAX_STREAM_LIFETIME);
+            for (service, _) in &route.services {
+                let longest = lifetimes.entry(service.clone()).or_default();
+                *longest = lifetime.max(*longest);
+            }
+        }
+        lifetimes
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
