Show that nodes which are cut off from all servers refuse what others could serve

Nodes in the tests now can have links of their own to the servers, behind proxies that hang, reset or refuse.

--- a/savoryport/src/node/fleet.rs
+++ b/savoryport/src/node/fleet.rs
@@ -401,6 +401,7 @@
         && a.incarnation == b.incarnation
         && a.address == b.address
         && a.service == b.service
+        && a.software == b.software
         && a.failure_domain == b.failure_domain
         && a.slots == b.slots
         && a.in_memory == b.in_memory
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -15,7 +15,7 @@
 use savoryport_standin::backend::{BackendConfig, BackendFault, BackendStandin};
 use savoryport_standin::fleet::{free_address, write_settings};
 use savoryport_standin::metadata::MetadataStandin;
-use savoryport_standin::proxy::Proxy;
+use savoryport_standin::proxy::{Faults, Proxy};
 use savoryport_standin::raw_engine::{RawEngine, RawEngineConfig, RawEngineFault};
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -44,6 +44,47 @@
     pub log_lines: Arc<Mutex<Vec<String>>>,
     /// The proxy between the node and the store, which can inject faults.
     pub store_proxy: Proxy,
+    /// The node's links to the servers, where it has its own.
+    pub server_links: ServerLinks,
+}
+
+/// The proxies between one node and the servers, by the servers' addresses.
+#[derive(Clone, Default)]
+pub struct ServerLinks(Arc<Mutex<(HashMap<String, Proxy>, Faults)>>);
+
+impl ServerLinks {
+    /// Sets the faults of all links, also of those to servers that start later.
+    pub fn set_faults(&self, faults: Faults) {
+        let mut links = self.0.lock().expect("no thread panics while holding the lock");
+        links.1 = faults;
+        links.0.values().for_each(|proxy| proxy.set_faults(|current| *current = faults));
+    }
+
+    /// Ends all connections.
+    pub fn close_connections(&self) {
+        let links = self.0.lock().expect("no thread panics while holding the lock");
+        links.0.values().for_each(Proxy::close_connections);
+    }
+
+    /// Returns the address at which the node reaches a server.
+    fn address_of(&self, server: &str) -> String {
+        let mut links = self.0.lock().expect("no thread panics while holding the lock");
+        let (proxies, faults) = &mut *links;
+        let start = || {
+            let proxy = Proxy::start("127.0.0.1:0", server);
+            proxy.set_faults(|current| *current = *faults);
+            proxy
+        };
+        proxies.entry(server.to_owned()).or_insert_with(start).address().to_owned()
+    }
+
+    /// Rewrites a server's entry in the store to the address at which the node reaches it.
+    fn rewrite(&self, key: &str, value: &[u8]) -> Option<Vec<u8>> {
+        let mut entry: Value = serde_json::from_slice(value).ok()?;
+        let address = key.starts_with("servers/").then(|| entry["address"].as_str())??.to_owned();
+        entry["address"] = self.address_of(&address).into();
+        Some(entry.to_string().into_bytes())
+    }
 }
 
 /// The configured models, with the load time of each in seconds.
@@ -76,6 +117,9 @@
     pub software: &'static str,
     /// All failure domains.
     failure_domains: Vec<&'static str>,
+    /// Whether nodes that are started next have links of their own to the servers.
+    has_server_links: bool,
+    store_views: Vec<MetadataStandin>,
     /// The number of servers started so far, from which each gets its own incarnation.
     starts: u64,
     _dir: TempDir,
@@ -123,6 +167,21 @@
         failure_domains: &[&'static str],
         nodes: usize,
         node_settings: Value,
+    ) -> Self {
+        Self::start_site(failure_domains, nodes, node_settings, false)
+    }
+
+    /// Starts one node in each of these failure domains, each with links of its own to the servers. The
+    /// servers are in the first one.
+    pub fn start_with_server_links(failure_domains: &[&'static str]) -> Self {
+        Self::start_site(failure_domains, 1, json!({}), true)
+    }
+
+    fn start_site(
+        failure_domains: &[&'static str],
+        nodes: usize,
+        node_settings: Value,
+        has_server_links: bool,
     ) -> Self {
         let dir = TempDir::new().expect("a temporary directory");
         let store = MetadataStandin::start("127.0.0.1:0");
@@ -141,6 +200,8 @@
             failure_domain: failure_domains[0],
             software: "v1",
             failure_domains: failure_domains.to_vec(),
+            has_server_links,
+            store_views: Vec::new(),
             starts: 0,
             _dir: dir,
         };
@@ -330,7 +391,15 @@
 
     /// Starts a node.
     pub fn add_node(&mut self, name: &str) {
-        let store_proxy = Proxy::start("127.0.0.1:0", self.store.address());
+        let server_links = ServerLinks::default();
+        let links = server_links.clone();
+        let store = if self.has_server_links {
+            self.store.view(move |key, value| links.rewrite(key, value))
+        } else {
+            self.store.clone()
+        };
+        let store_proxy = Proxy::start("127.0.0.1:0", store.address());
+        self.store_views.push(store);
         let (callers, directory) = (free_address(), free_address());
         let ip_address = callers.split(':').next().expect("an IP address");
         let port = || {
@@ -363,6 +432,7 @@
             process: None,
             log_lines: Arc::default(),
             store_proxy,
+            server_links,
         };
         node.start();
         self.nodes.push(node);
@@ -495,8 +565,13 @@
 
     /// Returns the addresses that the node's directory gives to callers.
     pub fn addresses(&self) -> Vec<String> {
+        self.addresses_for("east-a")
+    }
+
+    /// Returns the addresses that the node's directory gives to callers in a failure domain.
+    pub fn addresses_for(&self, failure_domain: &str) -> Vec<String> {
         let url = format!(
-            "http://{}/savoryport/resolution?name=site.example&region=east&zone=east-a",
+            "http://{}/savoryport/resolution?name=site.example&region=east&zone={failure_domain}",
             self.directory
         );
         let Ok(mut res) = agent(Duration::from_millis(500)).get(&url).call() else {
--- a/savoryport_standin/src/metadata.rs
+++ b/savoryport_standin/src/metadata.rs
@@ -77,6 +77,9 @@
     changed: Condvar,
 }
 
+/// Changes the value of a key before it is sent to a client.
+type Rewrite = dyn Fn(&str, &[u8]) -> Option<Vec<u8>> + Send + Sync;
+
 /// A running metadata store.
 #[derive(Clone)]
 pub struct MetadataStandin {
@@ -99,10 +102,26 @@
         };
         *shared.lock() = state;
         let handler_shared = shared.clone();
-        let server = HttpServer::start(address, move |req| handle(&handler_shared, req));
+        let server = HttpServer::start(address, move |req| handle(&handler_shared, req, None));
         Self { shared, server: Arc::new(server) }
     }
 
+    /// Returns the same store at another address, where it sends other values of some keys: those that
+    /// `rewrite` returns.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no free local port.
+    pub fn view(
+        &self,
+        rewrite: impl Fn(&str, &[u8]) -> Option<Vec<u8>> + Send + Sync + 'static,
+    ) -> Self {
+        let shared = self.shared.clone();
+        let handle = move |req| handle(&shared, req, Some(&rewrite));
+        let server = HttpServer::start("127.0.0.1:0", handle);
+        Self { shared: self.shared.clone(), server: Arc::new(server) }
+    }
+
     /// Returns the IP address and port that the store listens on.
     pub fn address(&self) -> &str {
         self.server.address()
@@ -246,7 +265,24 @@
     })
 }
 
-fn handle(shared: &Shared, mut req: Request) {
+/// Replaces the values of the items in a response.
+fn rewrite_items(response: &mut Value, rewrite: &Rewrite) {
+    rewrite_item(response, rewrite);
+    for list in ["items", "events"] {
+        let items = response.get_mut(list).and_then(Value::as_array_mut);
+        items.into_iter().flatten().for_each(|item| rewrite_item(item, rewrite));
+    }
+}
+
+fn rewrite_item(item: &mut Value, rewrite: &Rewrite) {
+    let (Some(key), Some(value)) = (item["key"].as_str(), item["value"].as_str()) else { return };
+    let value = STANDARD.decode(value).unwrap_or_default();
+    if let Some(value) = rewrite(key, &value) {
+        item["value"] = STANDARD.encode(value).into();
+    }
+}
+
+fn handle(shared: &Shared, mut req: Request, rewrite: Option<&Rewrite>) {
     let mode = {
         let mut state = shared.lock();
         state.call_count += 1;
@@ -266,7 +302,7 @@
         StoreMode::Silent => return drop_response(req),
         StoreMode::Up | StoreMode::DropsResponses | StoreMode::DelaysResponses(_) => {}
     }
-    let (status, response) = match (req.method(), path) {
+    let (status, mut response) = match (req.method(), path) {
         (Method::Get, "/savoryport/kv-range") => range(shared, &query),
         (Method::Get, "/savoryport/kv-watch") => watch(shared, &query),
         (Method::Get, "/savoryport/kv-key") => get(shared, &query),
@@ -286,6 +322,9 @@
         },
         _ => (404, json!({})),
     };
+    if let Some(rewrite) = rewrite {
+        rewrite_items(&mut response, rewrite);
+    }
     match mode {
         StoreMode::DropsResponses if *req.method() != Method::Get => return drop_response(req),
         StoreMode::DelaysResponses(delay) if *req.method() != Method::Get => thread::sleep(delay),
--- a/savoryport_standin/src/proxy.rs
+++ b/savoryport_standin/src/proxy.rs
@@ -2,18 +2,34 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::thread;
 use std::time::Duration;
 
 /// The interval at which a paused connection checks whether it may continue.
 const PAUSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// The interval at which the listener is asked for a new connection.
+const ACCEPT_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
+/// The length of a listener's queue.
+const LISTENER_QUEUE: i32 = 128;
+
+/// The time after which the queue of a listener counts as full.
+const FILL_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// The most connections that fill the queue of a listener.
+const MAX_FILLERS: usize = 8;
+
 /// Faults that can be changed while the proxy runs.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Faults {
     /// Whether new connections are closed immediately.
     pub refuse: bool,
+    /// Whether the listener is closed, so that new connections are refused.
+    pub close_listener: bool,
+    /// Whether new connections hang: the queue of the listener is full.
+    pub hang_connects: bool,
     /// Whether forwarding is paused, on existing and new connections.
     pub pause: bool,
     /// The additional delay of each chunk read from a connection.
@@ -50,12 +66,12 @@
         let listener = TcpListener::bind(address).unwrap_or_else(|err| panic!("{address}: {err}"));
         let address = listener.local_addr().expect("a bound listener has an address").to_string();
         let state = Shared::default();
-        let (accept_state, target) = (state.clone(), target.to_owned());
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                accept(&accept_state, stream, &target);
-            }
-        });
+        let acceptor = Acceptor {
+            state: Arc::downgrade(&state),
+            address: address.clone(),
+            target: target.to_owned(),
+        };
+        thread::spawn(move || acceptor.run(listener));
         Self { address, state }
     }
 
@@ -92,6 +108,57 @@
     }
 }
 
+/// Accepts connections while the proxy exists.
+struct Acceptor {
+    state: Weak<Mutex<State>>,
+    address: String,
+    target: String,
+}
+
+impl Acceptor {
+    fn run(self, listener: TcpListener) {
+        let mut listener = Some(listener);
+        // Connections that fill the queue of the listener.
+        let mut fillers = Vec::new();
+        while let Some(state) = self.state.upgrade() {
+            let faults = state.lock().expect("no thread panics while holding the lock").faults;
+            if faults.close_listener {
+                listener = None;
+            } else if listener.is_none() {
+                listener = TcpListener::bind(&self.address).ok();
+            }
+            match &listener {
+                Some(open) if faults.hang_connects && fillers.is_empty() => {
+                    fillers = self.fill_queue(open);
+                }
+                Some(open) if !faults.hang_connects => {
+                    if !fillers.is_empty() {
+                        fillers.clear();
+                        let _ = rustix::net::listen(open, LISTENER_QUEUE);
+                    }
+                    let _ = open.set_nonblocking(true);
+                    if let Ok((stream, _)) = open.accept() {
+                        let _ = stream.set_nonblocking(false);
+                        accept(&state, stream, &self.target);
+                        continue;
+                    }
+                }
+                Some(_) | None => {}
+            }
+            drop(state);
+            thread::sleep(ACCEPT_POLL_INTERVAL);
+        }
+    }
+
+    /// Makes the queue of the listener as short as it gets, and fills it.
+    fn fill_queue(&self, listener: &TcpListener) -> Vec<TcpStream> {
+        let _ = rustix::net::listen(listener, 0);
+        let address = self.address.parse().expect("the address of a bound socket");
+        let connect = || TcpStream::connect_timeout(&address, FILL_TIMEOUT).ok();
+        std::iter::from_fn(connect).take(MAX_FILLERS).collect()
+    }
+}
+
 fn accept(shared: &Shared, stream: TcpStream, target: &str) {
     let mut state = shared.lock().expect("no thread panics while holding the lock");
     if state.faults.refuse {
