Serve requests through other nodes while a node is cut off from all servers

Cause: a node took its own trouble for that of each server. It paused one after the other, and counted what was stuck there as their load; the directory left a node out only when it stopped; and a request could go by way of no other node.

A node asks servers of all services, near and far, for a connection when connections to two of them fail, or when requests hang at several and nothing is heard. Two rounds in which none accepts one mean that the node is cut off; the first connection ends it, which the node tries for by itself. Meanwhile it passes requests on to a node that is not cut off, over HTTP with the caller's key, address and remaining time: that node checks, charges, binds and retries as for its own callers, so that everything counts once, and passes nothing on itself. Nodes tell each other with their syncs, and the directories of all lead callers to nodes that reach servers. The node stays ready, since it takes connections and serves them.

Tests for nodes that are all cut off, for a caller that leaves, and for the decision.

--- a/savoryport/src/node/context.rs
+++ b/savoryport/src/node/context.rs
@@ -27,6 +27,7 @@
 use super::response_body::SharedResponseMemory;
 use super::routing_state::SharedRoutingState;
 use super::rpc::CopyUse;
+use super::server_link::SharedServerLink;
 use super::settings::NodeSettings;
 use super::store_reader::StoreHealth;
 use super::stream::StreamMemory;
@@ -71,6 +72,8 @@
     pub crash_seen: Notify,
     /// The software versions of servers and of the streams that began at them.
     pub stream_origins: SharedStreamOrigins,
+    /// Whether this node reaches any server.
+    pub server_link: SharedServerLink,
     /// Whether the leader of this node's failure domain no longer answers it.
     pub is_leader_lost: AtomicBool,
     /// The moment as of which the configuration is known to be the newest one.
--- a/savoryport/src/node/directory.rs
+++ b/savoryport/src/node/directory.rs
@@ -130,7 +130,10 @@
         .members
         .iter()
         .filter(|member| own_address.is_some() || member.callers != cx.settings.callers_listen);
-    let members: Vec<_> = members.collect();
+    // Nodes that reach no server are named only if there are no others.
+    let (cut_off, linked): (Vec<&Member>, Vec<&Member>) =
+        members.partition(|member| member.is_cut_off);
+    let members = if linked.is_empty() { cut_off } else { linked };
     let leads = |vm: &Name| view.leaders.values().any(|leader| leader.vm == *vm);
     let weighs_capacity = cx.settings.weigh_node_capacity;
     let entry_node = |member: &Member| EntryNode {
--- a/savoryport/src/node/fleet.rs
+++ b/savoryport/src/node/fleet.rs
@@ -171,6 +171,17 @@
         }
     }
 
+    /// Sets whether this node reaches no server.
+    pub fn set_cut_off(&mut self, is_cut_off: bool) {
+        self.own.is_cut_off = is_cut_off;
+        self.members_revision += 1;
+    }
+
+    /// Returns this node.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
     /// Removes a member that is leaving.
     pub fn remove_member(&mut self, vm: &str) {
         if self.members.remove(vm).is_some() {
--- a/savoryport/src/node/metrics.rs
+++ b/savoryport/src/node/metrics.rs
@@ -101,6 +101,10 @@
     pub unknown_origins: Counter,
     /// Writes of streams and their software versions to the store.
     pub origin_writes: Counter,
+    /// Times at which this node lost its links to all servers.
+    pub server_link_losses: Counter,
+    /// Requests that were passed on to another node meanwhile.
+    pub relayed_requests: Counter,
     /// Servers that crashed while requests of this node waited for their first events.
     pub server_crashes: Counter,
     /// Records of crashes written to the store.
@@ -169,6 +173,8 @@
             cut_events: Counter::default(),
             spoiled_events: Counter::default(),
             unknown_origins: Counter::default(),
+            server_link_losses: Counter::default(),
+            relayed_requests: Counter::default(),
             origin_writes: Counter::default(),
             crash_writes: Counter::default(),
             crash_write_failures: Counter::default(),
@@ -296,6 +302,16 @@
             "Writes of streams and their software versions to the store",
             self.origin_writes.clone(),
         );
+        registry.register(
+            "server_link_losses",
+            "Losses of the links to all servers",
+            self.server_link_losses.clone(),
+        );
+        registry.register(
+            "relayed_requests",
+            "Requests passed on to another node",
+            self.relayed_requests.clone(),
+        );
         registry.register(
             "crash_writes",
             "Records of crashes written to the store",
--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -35,6 +35,7 @@
 mod proxy;
 mod quarantine;
 mod receive;
+mod relay;
 mod request_body;
 mod request_quarantine;
 mod response;
@@ -42,6 +43,7 @@
 mod routing_state;
 pub mod rpc;
 mod server_limits;
+mod server_link;
 mod server_response;
 mod server_selection;
 pub mod settings;
@@ -84,6 +86,7 @@
 use self::request_body::SharedCallerMemory;
 use self::response_body::SharedResponseMemory;
 use self::routing_state::SharedRoutingState;
+use self::server_link::SharedServerLink;
 use self::settings::NodeSettings;
 use self::store_reader::StoreHealth;
 use self::stream::StreamMemory;
@@ -148,6 +151,7 @@
     tokio::spawn(exchange::exchange(cx.clone()));
     tokio::spawn(crash_archive::run(cx.clone()));
     tokio::spawn(stream_origins::run(cx.clone()));
+    tokio::spawn(server_link::run(cx.clone()));
     tokio::spawn(directory::accept(cx.clone(), directory, "directory"));
     tokio::spawn(directory::accept(cx.clone(), readiness, "readiness"));
     tokio::spawn(callers::accept(cx.clone(), callers));
@@ -228,6 +232,7 @@
         failure_domain: settings.failure_domain.clone(),
         callers: settings.callers_listen,
         capacity: settings.capacity(),
+        is_cut_off: false,
     };
     let start_time = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let tenure = xxh3_64(settings.vm.as_bytes()) ^ start_time.as_nanos() as u64;
@@ -271,6 +276,7 @@
         crash_archive: Mutex::default(),
         crash_seen: Notify::new(),
         stream_origins: SharedStreamOrigins::default(),
+        server_link: SharedServerLink::default(),
         is_leader_lost: AtomicBool::new(false),
         config_age: Mutex::default(),
         quotas: Mutex::new(NodeQuotas::new(tenure.max(1), lease_clock.now())),
--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use savoryport_adapter::servers::{
     DispatchHeaders, ResponseKind, classify_response, promises_not_run, set_dispatch_headers,
@@ -23,6 +23,7 @@
 use super::in_flight::InFlightRequest;
 use super::response::{Body, Refusal, RefusalCause, forward_response};
 use super::response_body::CompleteBody;
+use super::server_link;
 use super::server_selection::SelectedServer;
 use super::stream;
 use super::team_quota::QuotaCharge;
@@ -61,6 +62,12 @@
     /// The software version that the stream is bound to, once events of it have reached the caller.
     pub(super) software: Option<Name>,
     pub(super) identity: RequestIdentity,
+    /// The caller's IP address.
+    pub(super) caller: IpAddr,
+    /// Whether another node passed the request on to this one.
+    pub(super) is_relayed: bool,
+    /// The caller's key, where teams have keys.
+    pub(super) key: Option<HeaderValue>,
     /// What the request used of its team's quota, if it has a team.
     pub(super) quota_charge: Option<QuotaCharge>,
     pub(super) prefix_keys: PrefixKeys,
@@ -144,6 +151,9 @@
         if let Some(cause) = self.quarantine_cause() {
             return self.finish_with_refusal(Refusal::new(cause));
         }
+        if self.must_go_elsewhere() {
+            return self.run_elsewhere().await;
+        }
         self.record_demand();
         let answer_now = self.cx.answer_now.clone();
         match answer_now.run_until_cancelled(self.bind_to_origin()).await {
@@ -154,6 +164,7 @@
         loop {
             let selected = match answer_now.run_until_cancelled(self.select_server()).await {
                 Some(Ok(selected)) => selected,
+                Some(Err(_)) if self.must_go_elsewhere() => return self.run_elsewhere().await,
                 Some(Err(refusal)) => return self.finish_with_refusal(refusal),
                 None => return self.finish_because_of_stop(),
             };
@@ -168,6 +179,9 @@
                 }
                 Attempt::TryNext => {}
             }
+            if self.must_go_elsewhere() && !self.remaining_time().is_zero() {
+                return self.run_elsewhere().await;
+            }
             if let Some(cause) = self.reason_not_to_retry() {
                 let refusal = self.refusal_for(cause);
                 return self.finish_with_refusal(refusal);
@@ -238,7 +252,7 @@
     }
 
     /// Ends the request without a successful response from a server.
-    fn finish_with_refusal(mut self, refusal: Refusal) -> Response<Body> {
+    pub(super) fn finish_with_refusal(mut self, refusal: Refusal) -> Response<Body> {
         if let Some((status, headers, body)) = self.failure_response.take() {
             self.log_end("failed", status.as_u16(), None);
             return forward_response(status, headers, body);
@@ -328,6 +342,9 @@
             Ok(connection) => connection,
             Err(err) => return self.on_connect_failure(selected, &err),
         };
+        if !connection.is_reused() {
+            server_link::record_accepted(&self.cx);
+        }
         let in_flight = InFlightRequest::begin(self, selected);
         self.attempted_servers.push(server.id.clone());
         self.set_charged(true);
@@ -358,6 +375,7 @@
                 self.record_limit(selected, (status, &headers, kind), sent_at);
                 self.record_notices(selected, (status, &headers, kind));
                 self.cx.routing.lock().health.record_activity(&server.id, self.cx.now());
+                server_link::record_data(&self.cx);
                 let first_chunk = match first_frame {
                     FirstFrame::Data(data) => Some(data),
                     FirstFrame::NoData | FirstFrame::Broken => None,
@@ -421,6 +439,7 @@
     fn on_connect_failure(&mut self, selected: &SelectedServer, err: &SendError) -> SendResult {
         log::info!(request = &*self.head.id, err:% = err; "server unreachable");
         self.unreachable_count += 1;
+        server_link::record_failure(&self.cx, &selected.server.id);
         self.excluded_servers.push(selected.server.id.clone());
         self.record_outcome(&selected.server.id, ServerOutcome::Unreachable);
         SendResult::Failed
@@ -428,6 +447,7 @@
 
     fn on_broken_connection(&mut self, server: &Name) -> SendResult {
         self.may_have_run = true;
+        server_link::record_failure(&self.cx, server);
         self.record_outcome(server, ServerOutcome::Unreachable);
         SendResult::Failed
     }
@@ -502,6 +522,7 @@
     pub(super) fn record_server_activity(&self) {
         if let Some(server) = &self.last_server {
             self.cx.routing.lock().health.record_activity(server, self.cx.now());
+            server_link::record_data(&self.cx);
         }
     }
 
--- a/savoryport/src/node/receive.rs
+++ b/savoryport/src/node/receive.rs
@@ -11,7 +11,7 @@
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request};
 use savoryport_adapter::callers::{
-    content_headers, decode_request_head, request_key, set_team, strip_headers,
+    content_headers, decode_request_head, key_of, request_key, set_team, strip_headers,
 };
 use savoryport_core::node::admission::retry_after;
 use savoryport_core::node::deployment::{Deployment, Route};
@@ -21,6 +21,7 @@
 use super::config_age::confirms_keys;
 use super::context::NodeContext;
 use super::proxy::ProxyRequest;
+use super::relay::take_mark;
 use super::request_body::Unread;
 use super::response::{Refusal, RefusalCause};
 use super::stream_origins::stream_of;
@@ -44,7 +45,9 @@
             .deployment()
             .cloned()
             .ok_or(Refusal::with_retry_after(RefusalCause::NoConfig, retry_after))?;
-        let (parts, mut body) = req.into_parts();
+        let (mut parts, mut body) = req.into_parts();
+        let relayed_for = take_mark(&mut parts.headers, caller, &view.members);
+        let caller = relayed_for.unwrap_or(caller);
         let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
         let mut route = find_route(&deployment, host, parts.uri.path())?.clone();
         let team = match find_team(&deployment, &route, &parts.headers, confirms_keys) {
@@ -88,6 +91,7 @@
         let identity = identify(caller, &parts, &body);
         let mut headers = parts.headers;
         strip_headers(&mut headers);
+        let key = key_of(&headers).filter(|_| deployment.teams.is_some());
         if deployment.teams.is_some() {
             set_team(&mut headers, team.as_deref());
         }
@@ -104,6 +108,9 @@
             stream,
             software: None,
             identity,
+            caller,
+            is_relayed: relayed_for.is_some(),
+            key,
             quota_charge,
             prefix_keys,
             arrived_at,
--- a/savoryport/src/node/response.rs
+++ b/savoryport/src/node/response.rs
@@ -11,6 +11,7 @@
 use savoryport_adapter::callers::set_retry_after;
 use thiserror::Error;
 
+use super::relay::mark_refusal;
 use super::response_body::CompleteBody;
 
 /// Ends a response body that is incomplete: the connection to the caller is closed without the end
@@ -55,6 +56,8 @@
     VersionUnknown,
     /// No server of the software version that began the stream can go on with it.
     NoVersion,
+    /// This node reaches no server, and no other node could take the request.
+    CutOff,
     /// The first token is expected too late to be of use.
     Overload,
     /// The servers that could take the request name limits, which are used up.
@@ -92,6 +95,7 @@
             Self::NoAdapter => "no-adapter",
             Self::VersionUnknown => "version-unknown",
             Self::NoVersion => "no-version",
+            Self::CutOff => "cut-off",
             Self::Overload => "overload",
             Self::Limited => "limited",
             Self::Quarantined => "quarantined",
@@ -116,6 +120,7 @@
             | Self::NoAdapter
             | Self::VersionUnknown
             | Self::NoVersion
+            | Self::CutOff
             | Self::Overload
             | Self::Limited
             | Self::Quarantined
@@ -172,6 +177,9 @@
         if let Some(wait) = self.retry_after {
             set_retry_after(headers, wait);
         }
+        if self.cause == RefusalCause::CutOff {
+            mark_refusal(headers);
+        }
         response
     }
 }
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -12,7 +12,7 @@
 use savoryport_core::node::deployment::EngineClass;
 use savoryport_core::node::registry::BackendServer;
 use savoryport_core::node::request::Generation;
-use savoryport_core::node::selection::{Candidate, Distance, SelectionRequest, choose_server};
+use savoryport_core::node::selection::{Candidate, SelectionRequest, choose_server};
 use savoryport_core::node::server_limit::{PermitUse, longest_wait};
 
 use super::proxy::ProxyRequest;
@@ -516,7 +516,7 @@
             let adapter_orders =
                 adapter_orders(server, self.head.generation.as_ref(), max_adapters)
                     .ok_or("does not hold the model, or executes an order")?;
-            let distance = self.distance(server);
+            let distance = self.cx.settings.distance_to(&server.failure_domain);
             address.clear();
             let _ = write!(address, "{}", server.address);
             let is_connected = self.cx.request_pool.has_idle(&address, max_idle);
@@ -525,17 +525,6 @@
         let servers = view.servers.values().filter(|server| server.service == self.service);
         servers.map(|server| (server, assess(server))).collect()
     }
-
-    fn distance(&self, server: &BackendServer) -> Distance {
-        let settings = &self.cx.settings;
-        if server.failure_domain == settings.failure_domain {
-            return Distance::SameDomain;
-        }
-        match settings.region_of(&server.failure_domain) {
-            Some(region) if *region == settings.region => Distance::SameRegion,
-            _ => Distance::OtherRegion,
-        }
-    }
 }
 
 /// Returns how many orders load the adapter at the server: none, a load, or an unload and a load.
--- a/savoryport/src/node/settings.rs
+++ b/savoryport/src/node/settings.rs
@@ -9,7 +9,7 @@
 use savoryport_core::node::caller_memory::CallerMemoryLimits;
 use savoryport_core::node::entry_subset::NodeCapacity;
 use savoryport_core::node::prefix::PrefixCacheIndex;
-use savoryport_core::node::selection::SelectionCosts;
+use savoryport_core::node::selection::{Distance, SelectionCosts};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use thiserror::Error;
@@ -396,6 +396,17 @@
         self.region_of(failure_domain) == Some(&self.region)
     }
 
+    /// Returns the distance of a failure domain from this VM.
+    pub fn distance_to(&self, failure_domain: &str) -> Distance {
+        if *self.failure_domain == *failure_domain {
+            Distance::SameDomain
+        } else if self.is_in_own_region(failure_domain) {
+            Distance::SameRegion
+        } else {
+            Distance::OtherRegion
+        }
+    }
+
     /// Returns the region of a failure domain, if the settings list it.
     pub fn region_of(&self, failure_domain: &str) -> Option<&Name> {
         self.failure_domains.get(failure_domain)
--- a/savoryport/src/node/sync.rs
+++ b/savoryport/src/node/sync.rs
@@ -279,9 +279,10 @@
 
 fn follower_request(cx: &NodeContext, following: &Following, news: OwnNews) -> SyncRequest {
     let crashes = crash_exchange(cx, following.crash_digest);
+    let member = cx.fleet.read(|state| state.own().clone());
     let mut routing = cx.routing.lock();
     SyncRequest {
-        member: cx.member.clone(),
+        member,
         role: Role::Follower,
         is_leaving: cx.stopping.is_cancelled(),
         have: SyncPosition { config: cx.fleet.view().version(), ..following.have },
--- a/savoryport/src/node/view.rs
+++ b/savoryport/src/node/view.rs
@@ -26,6 +26,8 @@
     pub callers: SocketAddr,
     /// What the VM can bear.
     pub capacity: NodeCapacity,
+    /// Whether it reaches no server. It passes requests on to other nodes then.
+    pub is_cut_off: bool,
 }
 
 /// The leader of a failure domain: the node that may send orders to the servers there.
--- a/savoryport/tests/node_parts.rs
+++ b/savoryport/tests/node_parts.rs
@@ -16,7 +16,7 @@
 fn member(vm: &str) -> Member {
     let capacity = NodeSettings::default().capacity();
     let callers = ([127, 0, 0, 1], 7_100).into();
-    Member { vm: vm.into(), failure_domain: "east".into(), callers, capacity }
+    Member { vm: vm.into(), failure_domain: "east".into(), callers, capacity, is_cut_off: false }
 }
 
 #[test]
--- a/savoryport/tests/node_server_links.rs
+++ b/savoryport/tests/node_server_links.rs
@@ -3,6 +3,8 @@
 
 mod node_site;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use node_site::{NodeSite, RequestKind, expected_stream};
@@ -128,3 +130,64 @@
     heal(&site, 1);
     site.wait_until("the directory names the node again", |_| leads_there(1));
 }
+
+/// Guards against requests that nodes which are cut off send to each other in circles.
+#[test]
+fn requests_are_refused_as_not_run_when_no_node_reaches_a_server() {
+    let site = start();
+    (0..3).for_each(|node| Cut::Resets.begin(&site, node));
+    for number in 0..8 {
+        (0..3).for_each(|node| drop(count_served(&site, node, &format!("early-{number}"), 2)));
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    for node in 0..3 {
+        let began = Instant::now();
+        let response = site.send(node, &format!("nowhere-{node}"), RequestKind::NonIdempotent);
+        assert_eq!(response.status, 503);
+        assert!(response.retry_after.is_some());
+        assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+    }
+    (0..3).for_each(|node| heal(&site, node));
+    site.wait_until("all nodes serve again", |site| {
+        (0..3).all(|node| site.send(node, "again", RequestKind::Idempotent).status == 200)
+    });
+    assert_eq!((0..3).map(|node| site.runs_of(&format!("nowhere-{node}"))).sum::<u32>(), 0);
+}
+
+/// Guards against a server that goes on with a stream whose caller left a node that is cut off.
+#[test]
+fn a_caller_that_leaves_a_node_which_is_cut_off_ends_the_work_of_the_server() {
+    let mut site = start();
+    site.models.push(("m3", 0.4));
+    site.write_config();
+    site.add_server_with_interval("slow", "drafts", &["m3"], Duration::from_millis(400));
+    site.wait_for_servers(&["slow"]);
+    Cut::Hangs.begin(&site, 1);
+    let began = Instant::now();
+    while began.elapsed() < CONTACT_TIMEOUT {
+        count_served(&site, 1, &format!("early-{}", began.elapsed().as_millis()), 1);
+    }
+    site.wait_until("the other node knows the model", |site| {
+        site.send(0, "known", RequestKind::Stream("m3")).status == 200
+    });
+    let in_progress = |site: &NodeSite| site.nodes[0].server_status("slow")["requests"] == 1;
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut caller = TcpStream::connect(&site.nodes[1].callers).expect("it connects");
+            caller
+                .write_all(
+                    b"POST /draft/leaves HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: leaves\r\n\
+                      X-Deadline-Ms: 8000\r\nX-Model: m3\r\nX-Token-Counts: 100,8\r\n\
+                      X-Prompt-Prefix: 5c1e07a2:60,91bd3f06:40\r\nContent-Length: 0\r\n\r\n",
+                )
+                .expect("it is sent");
+            let mut begun = [0; 64];
+            caller.read_exact(&mut begun).expect("the stream begins");
+            site.wait_until("another node runs it", |site| in_progress(site));
+        });
+    });
+    let left = Instant::now();
+    site.wait_until("the work has ended", |site| !in_progress(site));
+    assert!(left.elapsed() < Duration::from_secs(1), "{:?}", left.elapsed());
+    assert_eq!(site.runs_of("leaves"), 1);
+}
--- a/savoryport_core/src/node/mod.rs
+++ b/savoryport_core/src/node/mod.rs
@@ -28,6 +28,7 @@
 pub mod retry_budget;
 pub mod selection;
 pub mod server_limit;
+pub mod server_link;
 pub mod server_notices;
 pub mod software_versions;
 pub mod stop_plan;
