--- a/savoryport/tests/node_server_links.rs
+++ b/savoryport/tests/node_server_links.rs
@@ -137,7 +137,9 @@
     let site = start();
     (0..3).for_each(|node| Cut::Resets.begin(&site, node));
     for number in 0..8 {
-        (0..3).for_each(|node| drop(count_served(&site, node, &format!("early-{number}"), 2)));
+        for node in 0..3 {
+            count_served(&site, node, &format!("early-{number}"), 2);
+        }
         std::thread::sleep(Duration::from_millis(200));
     }
     for node in 0..3 {
