Copy cached prefixes only between servers with the same software

The longest cached prefix is now looked for among the servers of each version. The test failed before: a server of v2 was chosen that was to copy from one of v1. Where a service has one version, nothing changes.

--- a/savoryport_core/src/node/selection.rs
+++ b/savoryport_core/src/node/selection.rs
@@ -8,6 +8,8 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use smallvec::SmallVec;
+
 use crate::Name;
 use crate::node::health::HealthTracker;
 use crate::node::load::{LoadTracker, ServerLoad};
@@ -285,10 +287,14 @@
     tokens: u32,
 }
 
-/// Returns the estimates for a candidate, which may copy the longest cached prefix.
+/// The longest cached prefix of each software version: what one has cached is of no use to another.
+type LongestPrefixes<'a> = SmallVec<[LongestCachedPrefix<'a>; 2]>;
+
+/// Returns the estimates for a candidate, which may copy the longest prefix that is cached at a server
+/// with the same software.
 fn estimate<'a>(
     candidate: Candidate<'a>,
-    longest: Option<LongestCachedPrefix<'a>>,
+    longest: &[LongestCachedPrefix<'a>],
     request: &SelectionRequest<'_>,
     cx: &SelectionContext<'_>,
 ) -> Choice<'a> {
@@ -305,6 +311,7 @@
                 cx.speeds.prefill_ms(&generation.model, uncached)
             };
             let mut prefill_ms = prefill(cached);
+            let longest = longest.iter().find(|longest| longest.server.software == server.software);
             if let (Some(longest), Some(ms_per_token)) = (longest, request.copy_ms_per_token) {
                 let copied = longest.tokens.saturating_sub(cached);
                 let with_copy = prefill(longest.tokens) + ms_per_token * f64::from(copied);
@@ -422,9 +429,9 @@
     request: &SelectionRequest<'_>,
     cx: &SelectionContext<'_>,
 ) -> Option<Choice<'a>> {
-    let longest = longest_cached_prefix(candidates.clone(), request, cx);
+    let longest = longest_cached_prefixes(candidates.clone(), request, cx);
     candidates
-        .map(|candidate| estimate(candidate, longest, request, cx))
+        .map(|candidate| estimate(candidate, &longest, request, cx))
         .min_by(|a, b| compare_choices(a, b, cx))
 }
 
@@ -434,9 +441,9 @@
     request: &SelectionRequest<'_>,
     cx: &SelectionContext<'_>,
 ) -> Vec<Choice<'a>> {
-    let longest = longest_cached_prefix(candidates.clone(), request, cx);
+    let longest = longest_cached_prefixes(candidates.clone(), request, cx);
     let mut choices: Vec<Choice<'a>> =
-        candidates.map(|candidate| estimate(candidate, longest, request, cx)).collect();
+        candidates.map(|candidate| estimate(candidate, &longest, request, cx)).collect();
     choices.sort_by(|a, b| compare_choices(a, b, cx));
     choices
 }
@@ -449,20 +456,25 @@
     key(a).partial_cmp(&key(b)).unwrap_or(Ordering::Equal)
 }
 
-/// Returns the candidate with the longest cached prefix of the prompt, where engines can copy it.
-fn longest_cached_prefix<'a>(
+/// Returns the candidates with the longest cached prefix of the prompt, where engines can copy it.
+fn longest_cached_prefixes<'a>(
     candidates: impl Iterator<Item = Candidate<'a>>,
     request: &SelectionRequest<'_>,
     cx: &SelectionContext<'_>,
-) -> Option<LongestCachedPrefix<'a>> {
-    request.copy_ms_per_token?;
-    candidates
-        .filter(|candidate| candidate.adapter_orders == 0)
-        .map(|Candidate { server, .. }| LongestCachedPrefix {
-            server,
-            tokens: held_tokens(server, request, cx),
-        })
-        .max_by_key(|prefix| prefix.tokens)
+) -> LongestPrefixes<'a> {
+    let mut longest = LongestPrefixes::new();
+    if request.copy_ms_per_token.is_none() {
+        return longest;
+    }
+    for Candidate { server, .. } in candidates.filter(|candidate| candidate.adapter_orders == 0) {
+        let prefix = LongestCachedPrefix { server, tokens: held_tokens(server, request, cx) };
+        match longest.iter_mut().find(|known| known.server.software == server.software) {
+            Some(known) if known.tokens <= prefix.tokens => *known = prefix,
+            Some(_) => {}
+            None => longest.push(prefix),
+        }
+    }
+    longest
 }
 
 fn batch_cost_ms(server: &BackendServer, running: u32) -> f64 {
--- a/savoryport_core/tests/node_decisions.rs
+++ b/savoryport_core/tests/node_decisions.rs
@@ -156,6 +156,31 @@
     assert_eq!(choose(&selection), ("a".into(), None));
 }
 
+/// Guards against an answer that begins on what another software version has cached.
+#[test]
+fn a_cached_prefix_is_not_copied_from_a_server_with_other_software() {
+    let a = server("a", "east", &["m"]);
+    let b = BackendServer { software: "v2".into(), ..server("b", "east", &["m"]) };
+    let c = BackendServer { software: "v2".into(), ..server("c", "east", &["m"]) };
+    let now = Instant::now();
+    let mut selection =
+        SelectionState { copy_ms_per_token: Some(0.001), ..SelectionState::default() };
+    let generation = long_prompt("m");
+    let cached = generation.prefix_keys()[..1].into();
+    selection.prefixes.record(&a.id, a.incarnation, &cached, 250_000, now);
+    selection.loads.start_request(&a.id, 0, 50.0);
+    let choose = |selection: &SelectionState, candidates: &[Candidate<'_>]| {
+        selection.choose_with_source(candidates, &generation, now)
+    };
+    assert_eq!(choose(&selection, &[same_domain(&a), same_domain(&b)]), ("a".into(), None));
+    assert_eq!(choose(&selection, &[same_domain(&b)]), ("b".into(), None));
+    // A server with the same software has it too.
+    selection.prefixes.record(&c.id, c.incarnation, &cached, 250_000, now);
+    selection.loads.start_request(&c.id, 0, 50.0);
+    let all = [same_domain(&a), same_domain(&b), same_domain(&c)];
+    assert_eq!(choose(&selection, &all), ("b".into(), Some("c".into())));
+}
+
 #[test]
 fn a_short_prefix_is_computed_rather_than_copied() {
     let (a, b) = (server("a", "east", &["m"]), server("b", "east", &["m"]));
