Test answers that are reset during an upload, and statuses that do not exist

Here both tests hold as the code was: an answer whose connection is reset is an error of the HTTP library at each of six moments of the reset, before and after the first bytes, buffered or streamed, and so is a status line that is none, or an interim status that no answer follows. No request that may not run twice did. Nothing had to be mended.

--- a/savoryport/tests/node_bad_servers.rs
+++ b/savoryport/tests/node_bad_servers.rs
@@ -227,6 +227,71 @@
     assert!(answered > 0 && reached > 1_000, "{answered} of {reached} were answered");
 }
 
+/// Guards against a part of an answer that is delivered as whole, since its server reset the connection
+/// while the request was still being written.
+#[test]
+fn an_early_answer_that_is_reset_during_the_upload_is_not_delivered_as_whole() {
+    let mut site = NodeSite::start(1);
+    site.plain_services.push("early");
+    site.models.push(("early", 0.4));
+    site.max_body_bytes = 8 * 1024 * 1024;
+    site.write_config();
+    let plain = site.start_raw_server("early-plain", "early", RawEngineFault::AnswersEarly);
+    let engine = site.start_raw_engine("early-engine", "early", RawEngineFault::AnswersEarly);
+    site.wait_for_servers(&["early-plain", "early-engine"]);
+    // More than the buffers of both sides hold.
+    let upload = "x".repeat(7 * 1024 * 1024);
+    let mut reached = 0;
+    for route in ["early-commit", "early-lookup", "draft", "draft-once"] {
+        let is_stream = route.starts_with("draft");
+        let head = if is_stream { 130 } else { 100 };
+        for bytes in [head, head + 20, head + 60, 10_000] {
+            for ms in [0, 1, 5, 20, 80, 300] {
+                let id = format!("{route}-{bytes}-{ms}");
+                let path = format!("/{route}/early-{bytes}-{ms}");
+                let response = if is_stream {
+                    let prompt = ("early", "5c1e07a2:60,91bd3f06:40");
+                    site.send_upload(0, &id, &path, prompt, &upload)
+                } else {
+                    post(&site.nodes[0].callers, &id, &path, &upload)
+                };
+                let runs = plain.runs_of(&id) + engine.runs_of(&id);
+                reached += u32::from(runs > 0);
+                assert!(route == "early-lookup" || route == "draft" || runs <= 1, "{id}: {runs}");
+                let is_whole = response.status == 200 && response.body.is_some();
+                assert!(!is_whole, "{id}: {response:?}");
+            }
+        }
+    }
+    assert!(reached > 60, "{reached} requests reached a server");
+}
+
+/// Guards against bytes that are delivered as an answer though their status is none.
+#[test]
+fn an_answer_with_a_status_that_does_not_exist_is_not_delivered() {
+    let mut site = NodeSite::start(1);
+    site.plain_services.push("odd");
+    site.models.push(("odd", 0.4));
+    site.write_config();
+    let plain = site.start_raw_server("odd-plain", "odd", RawEngineFault::AnswersStatus);
+    let engine = site.start_raw_engine("odd-engine", "odd", RawEngineFault::AnswersStatus);
+    site.wait_for_servers(&["odd-plain", "odd-engine"]);
+    for code in ["000", "099", "1000", "20", "2000", "2x0", "-200", "100", "103", "199"] {
+        for route in ["odd-commit", "odd-lookup", "draft", "draft-once"] {
+            let (id, path) = (format!("{route}-{code}"), format!("/{route}/status-{code}"));
+            let response = if route.starts_with("draft") {
+                site.send_upload(0, &id, &path, ("odd", "5c1e07a2:60,91bd3f06:40"), "draft")
+            } else {
+                post(&site.nodes[0].callers, &id, &path, "pay")
+            };
+            let runs = plain.runs_of(&id) + engine.runs_of(&id);
+            assert!(response.server_stamp.is_none(), "{id}: {response:?}");
+            let expected = if runs == 0 { [503, 503] } else { [502, 504] };
+            assert!(expected.contains(&response.status), "{id} ran {runs} times: {response:?}");
+        }
+    }
+}
+
 #[test]
 fn a_second_copy_of_an_answer_reaches_nobody() {
     let site = NodeSite::start(1);
--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -489,6 +489,19 @@
         send_stream(&self.nodes[node].callers, path, id, model, parts)
     }
 
+    /// Sends a stream request with this path and body to a node.
+    pub fn send_upload(
+        &self,
+        node: usize,
+        id: &str,
+        path: &str,
+        (model, parts): (&str, &str),
+        body: &str,
+    ) -> CallerResponse {
+        let path = path.trim_start_matches('/');
+        send_stream_with_body(&self.nodes[node].callers, path, id, (model, parts), body)
+    }
+
     /// Returns how often a request ran, summed over all servers.
     pub fn runs_of(&self, request: &str) -> u32 {
         self.servers.iter().map(|server| server.runs_of(request)).sum()
@@ -682,6 +695,16 @@
 }
 
 fn send_stream(address: &str, path: &str, id: &str, model: &str, parts: &str) -> CallerResponse {
+    send_stream_with_body(address, path, id, (model, parts), "draft")
+}
+
+fn send_stream_with_body(
+    address: &str,
+    path: &str,
+    id: &str,
+    (model, parts): (&str, &str),
+    body: &str,
+) -> CallerResponse {
     let request = caller_agent()
         .post(format!("http://{address}/{path}"))
         .header("Host", "site.example")
@@ -691,7 +714,7 @@
         .header("X-Token-Counts", "100,8")
         .header("X-Prompt-Prefix", parts)
         .header("X-Hold", "not the caller's to set");
-    receive(request.send("draft"))
+    receive(request.send(body))
 }
 
 /// Sends a request for this path with further headers to the node at `address`.
--- a/savoryport_standin/src/raw_engine.rs
+++ b/savoryport_standin/src/raw_engine.rs
@@ -61,6 +61,12 @@
     /// after how many bytes of the answer, and how its body is framed: `length`, `chunked`, `close` or
     /// `reset`, which is like `close` but resets the connection.
     CutsAnswers,
+    /// Answers before it has read the body. The last part of the path, `early-BYTES-MS`, tells how much of
+    /// an answer without a length it sends, and after what time it resets the connection.
+    AnswersEarly,
+    /// Answers with the status line that the last part of the path names: `status-CODE`. An interim
+    /// status is followed by a reset.
+    AnswersStatus,
     /// Closes the connection of each stream before its first event, without a reset.
     EndsBeforeFirstEvent,
     /// Crashes when it begins to answer a request whose prompt has this part, and starts again
@@ -263,7 +269,8 @@
         let (Ok(reader), Ok(handle)) = (stream.try_clone(), stream.try_clone()) else { return };
         self.lock().connections.push(handle);
         let mut reader = BufReader::new(reader);
-        while let Some(head) = read_request(&mut reader) {
+        let skips_body = self.cfg.fault != RawEngineFault::AnswersEarly;
+        while let Some(head) = read_request(&mut reader, skips_body) {
             let keeps_open = match (&*head.method, &*head.path) {
                 ("GET", "/savoryport/report") => self.send_report(&mut stream),
                 ("POST", "/savoryport/order") => {
@@ -336,6 +343,23 @@
             }
             return false;
         }
+        if self.cfg.fault == RawEngineFault::AnswersEarly
+            && let Some((bytes, ms)) = parse_early(&head.path)
+        {
+            let answer = framed_answer(id, &server, "close", &self.answer_body(id));
+            let _ = stream.write_all(&answer.as_bytes()[..bytes.min(answer.len())]);
+            thread::sleep(Duration::from_millis(ms));
+            let _ = set_socket_linger(&*stream, Some(Duration::ZERO));
+            return false;
+        }
+        if self.cfg.fault == RawEngineFault::AnswersStatus
+            && let Some((_, code)) = head.path.rsplit_once("/status-")
+        {
+            let answer = framed_answer(id, &server, "length", &self.answer_body(id));
+            send(stream, &answer.replacen("200 OK", &format!("{code} x"), 1));
+            let _ = set_socket_linger(&*stream, Some(Duration::ZERO));
+            return false;
+        }
         if self.cfg.models.is_empty() {
             return self.run_plain_request(id, &server, is_deadly, stream);
         }
@@ -436,6 +460,14 @@
     Some((bytes.parse().ok()?, framing))
 }
 
+/// Parses the path of a request that is answered early: the bytes of the answer, and the milliseconds
+/// until the reset.
+fn parse_early(path: &str) -> Option<(usize, u64)> {
+    let (_, early) = path.rsplit_once("/early-")?;
+    let (bytes, ms) = early.split_once('-')?;
+    Some((bytes.parse().ok()?, ms.parse().ok()?))
+}
+
 /// Returns a whole answer, of which the body is framed as asked.
 fn framed_answer(id: &str, server: &str, framing: &str, body: &str) -> String {
     let (header, body) = match framing {
@@ -453,8 +485,9 @@
     )
 }
 
-/// Reads a request and skips its body; returns `None` if the client has closed the connection.
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<RequestHead> {
+/// Reads a request, and skips its body with `skips_body`; returns `None` if the client has closed the
+/// connection.
+fn read_request(reader: &mut BufReader<TcpStream>, skips_body: bool) -> Option<RequestHead> {
     let mut line = String::new();
     reader.read_line(&mut line).ok()?;
     let mut words = line.split_whitespace();
@@ -467,7 +500,8 @@
         headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
     let length = headers.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
-    std::io::copy(&mut reader.by_ref().take(length), &mut std::io::sink()).ok()?;
+    let skipped = if skips_body { length } else { 0 };
+    std::io::copy(&mut reader.by_ref().take(skipped), &mut std::io::sink()).ok()?;
     Some(RequestHead { method, path, headers })
 }
 
