Soak streams with several software versions and links that are cut

The soak did not know releases, take-ups, losses of all nodes at once or nodes that are cut off from the servers. A second run of each seed replaces servers by ones with other software, cuts and heals the links of nodes in three ways, and kills one node or all, while callers take up streams that break off: no stream may be joined from two versions or miss a piece, nothing that may run once runs twice, and all nodes serve afterwards.

--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -4,6 +4,8 @@
 // Each test binary uses only some of these helpers.
 #![allow(dead_code)]
 
+pub mod streams;
+
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
--- a/savoryport/tests/node_soak.rs
+++ b/savoryport/tests/node_soak.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use node_site::streams::Stream;
 use node_site::{NodeSite, ORDER_TURN_MS, RequestKind, expected_stream};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -38,6 +39,12 @@
 /// the time between orders of two leaders.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// The model of the streams that callers take up.
+const MIXED_MODEL: &str = "m3";
+
+/// The number of times that a caller takes up a stream.
+const TAKE_UPS: u32 = 20;
+
 /// The kind and the response status of each request, by its id.
 type Responses = HashMap<String, (RequestKind, u16)>;
 
@@ -49,6 +56,152 @@
     }
 }
 
+/// Nodes have links of their own to the servers, which are cut and healed, and releases go on while nodes
+/// die one by one and all at once.
+#[test]
+fn streams_keep_their_version_and_cut_off_nodes_serve_under_random_faults() {
+    for seed in seeds() {
+        println!("seed {seed} with versions and links");
+        run_seed_with_versions(seed);
+    }
+}
+
+fn run_seed_with_versions(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
+    let mut site = NodeSite::start_with_server_links(&["east-a", "east-b", "east-c"]);
+    site.models.push((MIXED_MODEL, 0.4));
+    site.write_config();
+    for software in ["v1", "v2"] {
+        start_version(&mut site, software, 0);
+    }
+    let (responses, stopping) = (Mutex::new(Responses::new()), AtomicBool::new(false));
+    let targets: Vec<String> = site.nodes.iter().map(|node| node.callers.clone()).collect();
+    let taken_up = AtomicU64::new(0);
+    std::thread::scope(|scope| {
+        for caller in 0..CALLERS {
+            let (responses, stopping) = (&responses, &stopping);
+            let (targets, taken_up) = (&targets, &taken_up);
+            scope.spawn(move || {
+                let mut rng = SmallRng::seed_from_u64(seed * 1_000 + caller);
+                for number in 0.. {
+                    if stopping.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    let id = format!("r{seed}-{caller}-{number}");
+                    let address = &targets[rng.random_range(0..targets.len())];
+                    if caller % 2 == 0 {
+                        let count = send_and_take_up(seed, &id, targets, &mut rng);
+                        taken_up.fetch_add(count.into(), Ordering::Relaxed);
+                        continue;
+                    }
+                    let kind = RequestKind::NonIdempotent;
+                    let response = node_site::send_request(address, &id, kind);
+                    check_response(seed, &id, kind, &response);
+                    let mut responses =
+                        responses.lock().expect("no thread panics while holding the lock");
+                    responses.insert(id, (kind, response.status));
+                }
+            });
+        }
+        let deadline = Instant::now() + FAULT_PERIOD;
+        for number in 1.. {
+            inject_version_or_link_fault(&mut site, number, &mut rng);
+            std::thread::sleep(Duration::from_millis(rng.random_range(50..600)));
+            if Instant::now() > deadline {
+                break;
+            }
+        }
+        site.nodes.iter().for_each(|node| node.server_links.set_faults(Faults::default()));
+        clear_faults(&mut site);
+        stopping.store(true, Ordering::Relaxed);
+    });
+    let responses = responses.into_inner().expect("no thread panics while holding the lock");
+    let runs = site.runs();
+    for (id, (_, status)) in &responses {
+        let ran = runs.get(id).copied().unwrap_or(0);
+        let says_not_run = [408, 421, 429, 503].contains(status);
+        assert!(ran <= 1 && (!says_not_run || ran == 0), "seed {seed}: {id} ran {ran}, {status}");
+    }
+    println!("{} streams taken up", taken_up.into_inner());
+    check_orders(seed, &site);
+    check_recovery(seed, &site);
+}
+
+/// Starts a server with the model of the streams that are taken up.
+fn start_version(site: &mut NodeSite, software: &'static str, number: u32) {
+    site.software = software;
+    let (id, interval) = (format!("{software}-{number}"), Duration::from_millis(60));
+    site.add_server_with_interval(&id, "drafts", &[MIXED_MODEL], interval);
+    site.software = "v1";
+}
+
+/// Sends a stream, and takes it up at any node while it breaks off; returns how often that succeeded.
+/// Checks that all events are of one software version, and follow each other.
+fn send_and_take_up(seed: u64, id: &str, targets: &[String], rng: &mut SmallRng) -> u32 {
+    let (mut events, mut versions, mut taken_up) = (Vec::<u64>::new(), Vec::new(), 0);
+    // The attempt that brought the first event.
+    let mut first = None;
+    for attempt in 0..TAKE_UPS {
+        let address = &targets[rng.random_range(0..targets.len())];
+        let attempt_id = format!("{id}-{attempt}");
+        let resumed = first.as_deref().zip(events.last().copied());
+        if let Some(mut stream) = Stream::open(address, MIXED_MODEL, &attempt_id, resumed)
+            && stream.status == 200
+        {
+            stream.read_to_end();
+            taken_up += u32::from(resumed.is_some() && !stream.events.is_empty());
+            events.extend(stream.events);
+            versions.extend(stream.versions);
+            first = first.or_else(|| (!events.is_empty()).then_some(attempt_id));
+        }
+        if events.last() == Some(&8) {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    versions.dedup();
+    assert!(versions.len() <= 1, "seed {seed}: {id} is joined from {versions:?}");
+    let expected: Vec<u64> = (1..=events.len() as u64).collect();
+    assert_eq!(events, expected, "seed {seed}: {id}");
+    taken_up
+}
+
+/// Replaces a server by one with other software, cuts or heals links, or kills nodes.
+fn inject_version_or_link_fault(site: &mut NodeSite, number: u32, rng: &mut SmallRng) {
+    let node = rng.random_range(0..site.nodes.len());
+    let links = site.nodes[node].server_links.clone();
+    match rng.random_range(0..8) {
+        0 => links.set_faults(Faults { hang_connects: true, pause: true, ..Faults::default() }),
+        1 => {
+            links.set_faults(Faults { close_listener: true, ..Faults::default() });
+            if rng.random_bool(0.5) {
+                links.close_connections();
+            }
+        }
+        2 | 3 => links.set_faults(Faults::default()),
+        4 => links.close_connections(),
+        5 => {
+            let is_old = |id: &str| id.starts_with("v1-") || id.starts_with("v2-");
+            let old = site.servers.iter().find(|server| is_old(server.id()));
+            let software = ["v1", "v2", "v3"][rng.random_range(0..3)];
+            if let Some(old) = old {
+                old.register("draining");
+            }
+            start_version(site, software, number);
+        }
+        6 => kill_nodes(site, node..node + 1),
+        _ => kill_nodes(site, 0..site.nodes.len()),
+    }
+}
+
+fn kill_nodes(site: &mut NodeSite, nodes: std::ops::Range<usize>) {
+    site.nodes[nodes.clone()].iter().for_each(|node| node.signal(Signal::KILL));
+    for node in &mut site.nodes[nodes] {
+        let _ = node.wait_for_exit();
+        node.start();
+    }
+}
+
 fn seeds() -> std::ops::Range<u64> {
     let range = std::env::var("SAVORYPORT_SOAK_SEEDS").ok();
     let bounds = range.as_deref().and_then(|range| {
--- a/savoryport/tests/node_software_versions.rs
+++ b/savoryport/tests/node_software_versions.rs
@@ -3,10 +3,9 @@
 
 mod node_site;
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+use node_site::streams::Stream;
 use node_site::{NodeSite, RequestKind};
 use rustix::process::Signal;
 use savoryport_standin::backend::BackendFault;
@@ -52,75 +51,14 @@
     }
 }
 
-/// A stream of which the caller has received some events.
-struct Stream {
-    status: u16,
-    /// The software version of the server that began it.
-    software: String,
-    events: Vec<u64>,
-    reader: BufReader<TcpStream>,
-}
-
-/// Begins a stream for a request, or takes one up; `taken_up` has the first attempt and the last event.
 fn open(site: &NodeSite, node: usize, id: &str, taken_up: Option<(&str, u64)>) -> Option<Stream> {
-    let mut socket = TcpStream::connect(&site.nodes[node].callers).ok()?;
-    socket.set_read_timeout(Some(Duration::from_secs(8))).ok()?;
-    let resumption = taken_up
-        .map(|(first, event)| format!("Resumes: {first}\r\nLast-Event-Id: {event}\r\n"))
-        .unwrap_or_default();
-    let content = taken_up.map_or(id, |(first, _)| first);
-    // No two requests share a part of their prompts, so that they spread over the servers.
-    let part: u32 = content.bytes().fold(1, |hash, byte| hash * 31 % 65_521 + u32::from(byte));
-    write!(
-        socket,
-        "POST /draft/{content} HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: {id}\r\n\
-         X-Deadline-Ms: 8000\r\nX-Model: {MODEL}\r\nX-Token-Counts: 100,8\r\n\
-         X-Prompt-Prefix: {part:x}:60,{part:x}1:40\r\nConnection: close\r\n{resumption}\
-         Content-Length: 5\r\n\r\ndraft"
-    )
-    .ok()?;
-    let mut reader = BufReader::new(socket);
-    let mut line = String::new();
-    reader.read_line(&mut line).ok()?;
-    let status = line.split(' ').nth(1)?.parse().ok()?;
-    let mut software = String::new();
-    loop {
-        line.clear();
-        reader.read_line(&mut line).ok()?;
-        if let Some(stamp) = line.to_ascii_lowercase().strip_prefix("x-server-stamp: stamp.") {
-            software = stamp.split('-').next().unwrap_or_default().to_owned();
-        }
-        if line.trim().is_empty() {
-            return Some(Stream { status, software, events: Vec::new(), reader });
-        }
-    }
+    Stream::open(&site.nodes[node].callers, MODEL, id, taken_up)
 }
 
 fn begin(site: &NodeSite, node: usize, id: &str) -> Option<Stream> {
     open(site, node, id, None)
 }
 
-impl Stream {
-    /// Reads events until this one, or until the stream ends.
-    fn read_until(&mut self, last: u64) {
-        let mut line = String::new();
-        while self.events.last().is_none_or(|event| *event < last) {
-            line.clear();
-            if !matches!(self.reader.read_line(&mut line), Ok(1..)) {
-                return;
-            }
-            if let Some(event) = line.strip_prefix("id: ") {
-                self.events.extend(event.trim().parse::<u64>());
-            }
-        }
-    }
-
-    fn read_to_end(&mut self) {
-        self.read_until(u64::MAX);
-        let _ = self.reader.read_to_end(&mut Vec::new());
-    }
-}
-
 /// A stream that was cut off, as its caller knows it.
 struct Cut {
     id: String,
@@ -165,7 +103,8 @@
             stream.read_to_end();
             let is_whole = stream.events == (cut.last_event + 1..=8).collect::<Vec<_>>();
             assert!(is_whole, "{}: {:?} after {}", cut.id, stream.events, cut.last_event);
-            return Some(stream.software);
+            assert!(stream.versions.len() <= 1, "{}: {:?}", cut.id, stream.versions);
+            return stream.versions.pop_first();
         }
         if began.elapsed() > TAKE_UP_TIME {
             return None;
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -523,8 +523,13 @@
         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{proof}\
          transfer-encoding: chunked\r\n\r\n"
     );
+    // Only the first version says nothing of itself.
+    let version = match &*cfg.software {
+        "v1" => String::new(),
+        software => format!(" at {software}"),
+    };
     for event in first..=cfg.events_per_stream {
-        let mut payload = format!("id: {event}\ndata: event {event} of {id}\n\n");
+        let mut payload = format!("id: {event}\ndata: event {event} of {id}{version}\n\n");
         if let BackendFault::Stalls { before_event, pause } = fault
             && before_event == event
         {
