Turn no brittle server over

Servers that are short of room may say in their answers how many requests a second they can turn away before they fall over (Server-Brittle, LIMIT). A node now sends a brittle server nothing beyond 85% of its slots, as all nodes together use them, and leaves one that was full alone for so long that all nodes, asking once each, stay within half of what it bears. The next answer without the header ends that, and so does a restart.

--- a/savoryport/src/node/server_response.rs
+++ b/savoryport/src/node/server_response.rs
@@ -5,8 +5,8 @@
 
 use hyper::{HeaderMap, StatusCode};
 use savoryport_adapter::servers::{
-    RequestedPause, ResponseKind, is_leaving, keep_alive_timeout, promises_not_run,
-    requested_pause, strip_connection_headers,
+    RequestedPause, ResponseKind, bearable_refusals, is_leaving, keep_alive_timeout,
+    promises_not_run, requested_pause, strip_connection_headers,
 };
 use savoryport_core::Name;
 use savoryport_core::node::health::ServerOutcome;
@@ -91,6 +91,10 @@
         let mut routing = self.cx.routing.lock();
         let notices = &mut routing.notices;
         let is_news = is_leaving(headers) && notices.record_leaving(id, incarnation);
+        let bearable = bearable_refusals(headers);
+        // Only a server's own answer shows that it is no longer brittle.
+        let is_known = bearable.is_some() || kind == ResponseKind::Success;
+        let brittleness_changed = is_known && notices.record_brittleness(id, incarnation, bearable);
         let warns = match pause {
             RequestedPause::None => false,
             RequestedPause::For(pause) => {
@@ -101,6 +105,12 @@
         };
         drop(routing);
         let request = &*self.head.id;
+        if brittleness_changed {
+            log::info!(
+                server = &**id, incarnation = incarnation, is_brittle = bearable.is_some(),
+                bearable_per_s = bearable.unwrap_or_default(); "brittleness of a server"
+            );
+        }
         if is_news {
             log::info!(
                 request = request, server = &**id, incarnation = incarnation;
@@ -126,6 +136,7 @@
     /// while.
     fn learn_from_refusal(&self, status: StatusCode, selected: &SelectedServer) {
         let (server, now) = (&selected.server, self.cx.now());
+        let nodes = self.cx.fleet.view().members.len();
         let mut routing = self.cx.routing.lock();
         match (status, self.copy_name()) {
             (StatusCode::MISDIRECTED_REQUEST, Some(copy)) => {
@@ -133,6 +144,7 @@
             }
             (StatusCode::SERVICE_UNAVAILABLE, _) => {
                 routing.health.record_full(&server.id, self.route.rank, now);
+                routing.notices.record_full(&server.id, server.incarnation, nodes, now);
             }
             _ => {}
         }
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -504,6 +504,10 @@
             if !routing.notices.allow(&server.id, server.incarnation, now) {
                 return Err("wants no requests");
             }
+            let running = routing.loads.total(&server.id).running;
+            if !routing.notices.has_room(&server.id, server.incarnation, server.slots, running) {
+                return Err("is brittle and nearly full");
+            }
             if lacks_copy(server) {
                 return Err("stated not to hold the model or adapter");
             }
--- a/savoryport/tests/node_paused_servers.rs
+++ b/savoryport/tests/node_paused_servers.rs
@@ -96,3 +96,32 @@
     let warnings = log_lines.iter().filter(|line| line.contains(warning)).count();
     assert!((1..=3).contains(&warnings), "{warnings} warnings of three servers");
 }
+
+/// Guards against nodes that together turn a brittle server over, each of which finds it full again and
+/// again.
+#[test]
+fn a_brittle_server_that_is_full_turns_away_no_more_than_it_can_bear() {
+    const BEARABLE: usize = 2;
+    let site = NodeSite::start(3);
+    for server in ["plain-0", "plain-1", "plain-2"] {
+        site.server(server).set_brittle(Some("2"));
+    }
+    assert_eq!(send_for(&site, "sound", Duration::from_secs(1)), 0);
+    site.server("plain-0").set_fault(BackendFault::Full);
+    let full_at = Instant::now();
+    // A request that may be sent once is refused with the server that turns it away.
+    let not_served = send_for(&site, "full", Duration::from_secs(6));
+    assert!(not_served <= site.nodes.len(), "{not_served} not served");
+    // What the nodes have yet to learn of its lack of room counts less than the rest.
+    let learned_at = full_at + Duration::from_secs(1);
+    let arrivals = site.server("plain-0").arrivals();
+    let refused: Vec<Instant> = arrivals.into_iter().filter(|at| *at > learned_at).collect();
+    for first in &refused {
+        let end = *first + Duration::from_secs(1);
+        let count = refused.iter().filter(|at| *at >= first && **at < end).count();
+        assert!(count <= BEARABLE, "{count} requests turned away in a second");
+    }
+    let at_once = site.server("plain-0").arrivals();
+    let at_once = at_once.iter().filter(|at| **at > full_at && **at <= learned_at).count();
+    assert!(at_once <= 3, "{at_once} requests in the first second");
+}
--- a/savoryport_core/src/node/server_notices.rs
+++ b/savoryport_core/src/node/server_notices.rs
@@ -6,6 +6,10 @@
 //! Load pattern, leaving: a server announces in an answer that it leaves, before its entry in the
 //! registry says so, or although the entry says otherwise again after an outage of the store. Requests
 //! that it still gets are cut off when it goes.
+//!
+//! Load pattern, brittle servers: servers that are short of room say how many requests a second they can
+//! turn away before they fall over. Each node that finds such a server full comes again at once, and
+//! all of them together turn it over.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -15,6 +19,17 @@
 /// The longest pause that a server gets. One that asks for more is tried again after this time.
 const MAX_PAUSE: Duration = Duration::from_secs(600);
 
+/// The share of a brittle server's slots that may be taken before it gets no further requests. What other
+/// nodes have sent meanwhile is not known yet.
+const BRITTLE_SHARE: f64 = 0.85;
+
+/// The share of the requests that a brittle server can turn away which all nodes together send in vain.
+const REFUSED_SHARE: f64 = 0.5;
+
+/// The pauses of a brittle server that was full.
+const BRITTLE_PAUSES: std::ops::RangeInclusive<Duration> =
+    Duration::from_millis(200)..=Duration::from_secs(20);
+
 /// What each server has announced, for its current incarnation.
 #[derive(Debug, Clone, Default)]
 pub struct ServerNotices {
@@ -27,6 +42,8 @@
     is_leaving: bool,
     paused_until: Option<Instant>,
     has_unreadable_pause: bool,
+    /// The requests a second that the server can turn away, if it is brittle.
+    bearable_refusals: Option<f64>,
 }
 
 impl ServerNotices {
@@ -51,6 +68,40 @@
         !std::mem::replace(&mut notice.has_unreadable_pause, true)
     }
 
+    /// Records how many requests a second a server can turn away before it falls over, as an answer says;
+    /// `None` if it is not brittle. Returns whether that has changed.
+    pub fn record_brittleness(
+        &mut self,
+        server: &Name,
+        incarnation: u64,
+        bearable_refusals: Option<f64>,
+    ) -> bool {
+        if bearable_refusals.is_none() && self.notice(server, incarnation).is_none() {
+            return false;
+        }
+        let notice = self.notice_mut(server, incarnation);
+        std::mem::replace(&mut notice.bearable_refusals, bearable_refusals) != bearable_refusals
+    }
+
+    /// Records that a server turned a request away for want of room. A brittle one gets none of this node
+    /// until all of so many nodes may have asked once, within what it can turn away.
+    pub fn record_full(&mut self, server: &Name, incarnation: u64, nodes: usize, now: Instant) {
+        let bearable = self.notice(server, incarnation).and_then(|notice| notice.bearable_refusals);
+        let Some(bearable) = bearable else { return };
+        let seconds = nodes as f64 / (bearable * REFUSED_SHARE).max(f64::MIN_POSITIVE);
+        let pause = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
+        let pause = pause.clamp(*BRITTLE_PAUSES.start(), *BRITTLE_PAUSES.end());
+        self.record_pause(server, incarnation, pause, now);
+    }
+
+    /// Returns whether a server with so many slots and requests in progress has room, as far as it
+    /// matters: only a brittle one must not be sent what it would turn away.
+    pub fn has_room(&self, server: &str, incarnation: u64, slots: u32, running: u32) -> bool {
+        let is_brittle =
+            self.notice(server, incarnation).is_some_and(|it| it.bearable_refusals.is_some());
+        !is_brittle || f64::from(running) < (f64::from(slots) * BRITTLE_SHARE).max(1.0)
+    }
+
     /// Returns whether the server takes requests, as far as it has announced. A server that has
     /// started again has announced nothing yet.
     pub fn allow(&self, server: &str, incarnation: u64, now: Instant) -> bool {
--- a/savoryport_core/tests/server_notices.rs
+++ b/savoryport_core/tests/server_notices.rs
@@ -47,3 +47,33 @@
     notices.retain(|_| false);
     assert!(notices.allow("a", 1, now));
 }
+
+/// Guards against nodes that find a brittle server full one after the other, and turn it over.
+#[test]
+fn all_nodes_together_ask_a_brittle_server_less_often_than_it_can_bear() {
+    let (now, server) = (Instant::now(), Name::from("a"));
+    for (nodes, bearable) in [(3, 2.0), (8, 20.0), (60, 10.0), (350, 40.0)] {
+        let mut notices = ServerNotices::default();
+        notices.record_full(&server, 1, nodes, now);
+        assert!(notices.allow("a", 1, now), "it has not said that it is brittle");
+        assert!(notices.record_brittleness(&server, 1, Some(bearable)));
+        assert!(!notices.record_brittleness(&server, 1, Some(bearable)));
+        notices.record_full(&server, 1, nodes, now);
+        let pause = notices.remaining_pause("a", 1, now).expect("it is paused").as_secs_f64();
+        assert!(nodes as f64 / pause <= bearable, "{nodes} nodes, a pause of {pause} s");
+        assert!(pause <= 18.0);
+    }
+}
+
+#[test]
+fn a_brittle_server_gets_requests_only_while_it_has_room_and_until_it_starts_again() {
+    let server = Name::from("a");
+    let mut notices = ServerNotices::default();
+    assert!(notices.has_room("a", 1, 6, 100), "others may queue requests");
+    notices.record_brittleness(&server, 1, Some(5.0));
+    assert!(notices.has_room("a", 1, 64, 54) && !notices.has_room("a", 1, 64, 55));
+    assert!(notices.has_room("a", 1, 1, 0) && !notices.has_room("a", 1, 1, 1));
+    assert!(notices.has_room("a", 2, 64, 64), "it has started again");
+    assert!(notices.record_brittleness(&server, 1, None));
+    assert!(notices.has_room("a", 1, 64, 64));
+}
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -104,6 +104,8 @@
     fault: BackendFault,
     /// The value of the `Server-Limit` header in responses.
     limit: Option<String>,
+    /// The value of the `Server-Brittle` header in responses.
+    brittle: Option<String>,
     /// Whether responses announce that the server leaves.
     is_leaving: bool,
     /// The value of the `Retry-After` header in refusals.
@@ -196,6 +198,12 @@
         self.lock().limit = limit.map(str::to_owned);
     }
 
+    /// Sets the value of the `Server-Brittle` header in responses, by which a server names the requests a
+    /// second that it can turn away before it falls over.
+    pub fn set_brittle(&self, brittle: Option<&str>) {
+        self.lock().brittle = brittle.map(str::to_owned);
+    }
+
     /// Announces in all responses to requests from now on that the server leaves.
     pub fn announce_leaving(&self) {
         self.lock().is_leaving = true;
@@ -305,7 +313,8 @@
     fn notice_headers(&self) -> String {
         let limit = self.limit.as_ref().map(|limit| format!("Server-Limit: {limit}\r\n"));
         let leaving = if self.is_leaving { "Server-Leaving: 1\r\n" } else { "" };
-        format!("{}{leaving}", limit.unwrap_or_default())
+        let brittle = self.brittle.as_ref().map(|value| format!("Server-Brittle: {value}\r\n"));
+        format!("{}{}{leaving}", limit.unwrap_or_default(), brittle.unwrap_or_default())
     }
 
     fn record_head(&mut self, id: &str, req: &Request) {
