Wait two seconds for acknowledgements of a server before its connection counts as broken

A sound server may fall silent for a second or so and go on. A connection whose data stayed unacknowledged for one second was closed, and a request on it that may run once ended as broken although its server went on to answer it.

--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -62,6 +62,12 @@
         links.0.values().for_each(|proxy| proxy.set_faults(|current| *current = faults));
     }
 
+    /// Sets the faults of the link to one server.
+    pub fn set_faults_to(&self, server: &str, faults: Faults) {
+        let links = self.0.lock().expect("no thread panics while holding the lock");
+        links.0[server].set_faults(|current| *current = faults);
+    }
+
     /// Ends all connections.
     pub fn close_connections(&self) {
         let links = self.0.lock().expect("no thread panics while holding the lock");
--- a/savoryport_platform/src/connection.rs
+++ b/savoryport_platform/src/connection.rs
@@ -32,8 +32,9 @@
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
 
 /// The value of `TCP_USER_TIMEOUT`: the connection is closed when sent data stays unacknowledged
-/// for this long. A network path that drops packets silently would not be detected otherwise.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// for this long. A network path that drops packets silently would not be detected otherwise. Sound
+/// servers may fall silent for a second or so, and what they run meanwhile must not be lost.
+const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Why a request got no response; the variants differ in whether the server may have received it.
 #[derive(Debug, Error)]
--- a/savoryport_standin/src/backend.rs
+++ b/savoryport_standin/src/backend.rs
@@ -246,6 +246,11 @@
         self.lock().overcommit_count
     }
 
+    /// Returns the IP address and port that the server listens on.
+    pub fn address(&self) -> &str {
+        self.server.address()
+    }
+
     /// Returns the id in the registry.
     pub fn id(&self) -> &str {
         &self.config.id
