Count the servers that a request reached through other nodes

What allows it was found by reading: a node that is cut off waited for half of the time for the node that it had passed a request on to, and then passed it on to the next, each of which sent it to as many servers as the route allows. A test with servers of 2.5 s counts 4 runs where 2 are allowed. A request is now passed on to a second node only if the first has not run it, and goes with the number of servers that it was sent to before, which count for the other node's attempts and its retry budget. A refusal of that node which says not run is not forwarded if this node had sent the request.

--- a/savoryport/src/node/explain_route.rs
+++ b/savoryport/src/node/explain_route.rs
@@ -142,7 +142,7 @@
             head,
             identity: RequestIdentity { content: 0, caller: 0 },
             caller: cx.settings.ip_address,
-            is_relayed: false,
+            relay: None,
             key: None,
             prefix_keys,
             arrived_at: now,
--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -21,6 +21,7 @@
 
 use super::context::NodeContext;
 use super::in_flight::InFlightRequest;
+use super::relay::RelayMark;
 use super::response::{Body, Refusal, RefusalCause, forward_response};
 use super::response_body::CompleteBody;
 use super::server_link;
@@ -64,8 +65,8 @@
     pub(super) identity: RequestIdentity,
     /// The caller's IP address.
     pub(super) caller: IpAddr,
-    /// Whether another node passed the request on to this one.
-    pub(super) is_relayed: bool,
+    /// What the node says that passed the request on to this one; `None` if it came from its caller.
+    pub(super) relay: Option<RelayMark>,
     /// The caller's key, where teams have keys.
     pub(super) key: Option<HeaderValue>,
     /// What the request used of its team's quota, if it has a team.
@@ -203,10 +204,17 @@
         }
     }
 
+    /// Returns the number of servers that the request was sent to, by this node and the one that passed it
+    /// on.
+    pub(super) fn attempts(&self) -> u32 {
+        let before = self.relay.map_or(0, |relay| relay.attempts);
+        before.saturating_add(self.attempted_servers.len() as u32)
+    }
+
     /// Returns whether the request may be sent to one more server; a retry is taken from the retry
     /// budget.
     pub(super) fn reserve_attempt(&self) -> bool {
-        let (attempts, now) = (self.attempted_servers.len() as u32, self.cx.now());
+        let (attempts, now) = (self.attempts(), self.cx.now());
         let mut routing = self.cx.routing.lock();
         if attempts == 0 {
             routing.retry_budget.on_request(&self.service, now);
@@ -224,8 +232,8 @@
         if self.may_have_run && (self.is_suspect || !self.route.kind.is_repeatable()) {
             return Some(RefusalCause::Broken);
         }
-        let exhausted = self.attempted_servers.len() as u32 >= self.route.max_attempts
-            || self.unreachable_count >= MAX_UNREACHABLE;
+        let exhausted =
+            self.attempts() >= self.route.max_attempts || self.unreachable_count >= MAX_UNREACHABLE;
         exhausted.then_some(if self.may_have_run {
             RefusalCause::Broken
         } else {
@@ -464,8 +472,8 @@
         response: impl Future<Output = T>,
     ) -> Option<T> {
         let mut response = std::pin::pin!(response);
-        let may_retry = self.route.kind.is_repeatable()
-            && (self.attempted_servers.len() as u32) < self.route.max_attempts;
+        let may_retry =
+            self.route.kind.is_repeatable() && self.attempts() < self.route.max_attempts;
         if !may_retry {
             return tokio::time::timeout(self.remaining_time(), response).await.ok();
         }
--- a/savoryport/src/node/receive.rs
+++ b/savoryport/src/node/receive.rs
@@ -21,7 +21,7 @@
 use super::config_age::confirms_keys;
 use super::context::NodeContext;
 use super::proxy::ProxyRequest;
-use super::relay::take_mark;
+use super::relay::RelayMark;
 use super::request_body::Unread;
 use super::response::{Refusal, RefusalCause};
 use super::stream_origins::stream_of;
@@ -46,8 +46,8 @@
             .cloned()
             .ok_or(Refusal::with_retry_after(RefusalCause::NoConfig, retry_after))?;
         let (mut parts, mut body) = req.into_parts();
-        let relayed_for = take_mark(&mut parts.headers, caller, &view.members);
-        let caller = relayed_for.unwrap_or(caller);
+        let relay = RelayMark::take(&mut parts.headers, caller, &view.members);
+        let caller = relay.map_or(caller, |relay| relay.caller);
         let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
         let mut route = find_route(&deployment, host, parts.uri.path())?.clone();
         let team = match find_team(&deployment, &route, &parts.headers, confirms_keys) {
@@ -109,7 +109,7 @@
             software: None,
             identity,
             caller,
-            is_relayed: relayed_for.is_some(),
+            relay,
             key,
             quota_charge,
             prefix_keys,
--- a/savoryport/src/node/relay.rs
+++ b/savoryport/src/node/relay.rs
@@ -12,7 +12,7 @@
 use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
 use savoryport_adapter::callers::set_key;
-use savoryport_adapter::servers::{set_deadline, strip_connection_headers};
+use savoryport_adapter::servers::{promises_not_run, set_deadline, strip_connection_headers};
 use savoryport_core::Name;
 use savoryport_core::node::admission::retry_after;
 use savoryport_platform::connection::{Connection, SendError};
@@ -22,7 +22,8 @@
 use super::response::{Body, IncompleteResponse, Refusal, RefusalCause, forward_response};
 use super::view::Member;
 
-/// The IP address of the caller of a request that another node passes on.
+/// Marks a request that another node passes on: the IP address of its caller, and the number of servers
+/// that it was sent to before.
 static RELAYED_FOR: HeaderName = HeaderName::from_static("savoryport-relayed-for");
 
 /// Set on the refusal of such a request by a node that is cut off too.
@@ -31,13 +32,18 @@
 /// The number of nodes that a request is sent to in turn.
 const MAX_NODES: usize = 3;
 
-/// The share of the remaining time for which a request that may be repeated waits for a node before it
-/// is sent to the next one.
-const FIRST_NODE_WAIT_SHARE: f64 = 0.5;
-
 /// The time after which a caller may retry whose request no node could take.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// What the node says that passed a request on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RelayMark {
+    /// The IP address of the caller.
+    pub caller: IpAddr,
+    /// The number of servers that the request was sent to before.
+    pub attempts: u32,
+}
+
 /// What the answer of another node means for the request.
 enum RelayResult {
     Answered(Response<Body>),
@@ -47,17 +53,21 @@
     Broken,
 }
 
-/// Takes the mark of another node off a request; returns the address of its caller, or `None` if no node
-/// passes the request on. The mark of a sender that is no node hides nobody's address.
-pub(super) fn take_mark(
-    headers: &mut HeaderMap,
-    sender: IpAddr,
-    members: &[Member],
-) -> Option<IpAddr> {
-    let value = headers.remove(&RELAYED_FOR)?;
-    let is_node = members.iter().any(|member| member.callers.ip() == sender);
-    let named = value.to_str().ok().and_then(|address| address.parse().ok());
-    Some(named.filter(|_| is_node).unwrap_or(sender))
+impl RelayMark {
+    /// Takes the mark of another node off a request; returns `None` if no node passes the request on. The
+    /// mark of a sender that is no node hides nobody's address.
+    pub(super) fn take(
+        headers: &mut HeaderMap,
+        sender: IpAddr,
+        members: &[Member],
+    ) -> Option<Self> {
+        let value = headers.remove(&RELAYED_FOR)?;
+        let is_node = members.iter().any(|member| member.callers.ip() == sender);
+        let (caller, attempts) =
+            value.to_str().ok().and_then(|value| value.split_once(' ')).unwrap_or_default();
+        let caller = caller.parse().ok().filter(|_| is_node).unwrap_or(sender);
+        Some(Self { caller, attempts: attempts.parse().unwrap_or(0) })
+    }
 }
 
 /// Marks the refusal of a request that another node passed on in vain.
@@ -68,13 +78,14 @@
 impl ProxyRequest {
     /// Returns whether this node reaches no server, and the request may still be sent elsewhere.
     pub(super) fn must_go_elsewhere(&self) -> bool {
-        let may_run = !self.may_have_run || self.route.kind.is_repeatable();
-        may_run && self.cx.server_link.is_cut()
+        let may_run = !self.may_have_run
+            || self.route.kind.is_repeatable() && self.attempts() < self.route.max_attempts;
+        may_run && !self.is_suspect && self.cx.server_link.is_cut()
     }
 
     /// Passes the request on to another node. If another node passed it on to this one, it is refused.
     pub(super) async fn run_elsewhere(mut self) -> Response<Body> {
-        if self.is_relayed {
+        if self.relay.is_some() {
             return self.refuse_as_cut_off();
         }
         // What the request uses of its team's quota counts where it runs.
@@ -87,11 +98,13 @@
                     self.log_end("relayed", response.status().as_u16(), None);
                     return response;
                 }
+                RelayResult::NotRun if self.remaining_time().is_zero() => break,
                 RelayResult::NotRun => {}
-                RelayResult::Broken => self.may_have_run = true,
-            }
-            if !self.must_go_elsewhere() || self.remaining_time().is_zero() {
-                break;
+                // That node may have sent it to as many servers as the route allows.
+                RelayResult::Broken => {
+                    self.may_have_run = true;
+                    break;
+                }
             }
         }
         self.refuse_as_cut_off()
@@ -119,9 +132,8 @@
                     return RelayResult::NotRun;
                 }
             };
-        let share = if self.route.kind.is_repeatable() { FIRST_NODE_WAIT_SHARE } else { 1.0 };
         let sent = connection.send(self.relayed_request());
-        match tokio::time::timeout(self.remaining_time().mul_f64(share), sent).await {
+        match tokio::time::timeout(self.remaining_time(), sent).await {
             Ok(Ok(response)) => self.receive_from_node(connection, response).await,
             Ok(Err(SendError::NotConnected { .. })) => RelayResult::NotRun,
             Ok(Err(SendError::Broken { .. })) | Err(_) => RelayResult::Broken,
@@ -143,8 +155,8 @@
             set_key(headers, key.clone());
         }
         set_deadline(headers, self.remaining_time());
-        if let Ok(caller) = HeaderValue::from_str(&self.caller.to_string()) {
-            headers.insert(&RELAYED_FOR, caller);
+        if let Ok(mark) = HeaderValue::from_str(&format!("{} {}", self.caller, self.attempts())) {
+            headers.insert(&RELAYED_FOR, mark);
         }
         req
     }
@@ -158,6 +170,10 @@
         if parts.headers.contains_key(&CUT_OFF) {
             return RelayResult::NotRun;
         }
+        // The other node does not know of what this one has sent.
+        if self.may_have_run && promises_not_run(parts.status) {
+            return RelayResult::Broken;
+        }
         strip_connection_headers(&mut parts.headers);
         if self.route.kind.is_stream() && parts.status.is_success() {
             parts.headers.remove(CONTENT_LENGTH);
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -99,7 +99,7 @@
     /// Selects a server; waits for an adapter or a model if it can be loaded in time.
     pub(super) async fn select_server(&mut self) -> Result<SelectedServer, Refusal> {
         let selected = self.await_server().await?;
-        if self.attempted_servers.is_empty() && !self.ends_before_stop(&selected) {
+        if self.attempts() == 0 && !self.ends_before_stop(&selected) {
             return Err(Refusal::stopping(self.cx.random_unit()));
         }
         // The news may have come while the request waited.
@@ -196,7 +196,7 @@
     /// Returns whether the request is subject to the schedule of returns: a repeat or the rest of a
     /// stream is not refused for the turn of others.
     fn schedules_returns(&self) -> bool {
-        self.cx.settings.schedule_returns && self.attempted_servers.is_empty()
+        self.cx.settings.schedule_returns && self.attempts() == 0
     }
 
     fn time_until_turn(&self) -> Option<Duration> {
--- a/savoryport/src/node/stream.rs
+++ b/savoryport/src/node/stream.rs
@@ -395,9 +395,7 @@
 
     fn may_resume(&self) -> bool {
         let request = &self.request;
-        self.is_resumable
-            && !request.is_suspect
-            && (request.attempted_servers.len() as u32) < request.route.max_attempts
+        self.is_resumable && !request.is_suspect && request.attempts() < request.route.max_attempts
     }
 
     /// Returns whether the server currently sends nothing to any request of this node and another
--- a/savoryport/tests/node_server_links.rs
+++ b/savoryport/tests/node_server_links.rs
@@ -193,3 +193,41 @@
     assert!(left.elapsed() < Duration::from_secs(1), "{:?}", left.elapsed());
     assert_eq!(site.runs_of("leaves"), 1);
 }
+
+/// Guards against a request that runs on more servers than its route allows, since one node after the
+/// other tries it.
+#[test]
+fn a_request_that_is_passed_on_reaches_no_more_servers_than_its_route_allows() {
+    /// What the routes of the tests allow.
+    const MAX_ATTEMPTS: u32 = 2;
+    let mut site = start();
+    for number in 0..3 {
+        site.server(&format!("plain-{number}")).deregister();
+    }
+    for number in 0..6 {
+        let id = format!("slow-{number}");
+        site.add_server_with_interval(&id, "orders", &[], Duration::from_millis(2_500));
+    }
+    site.wait_until("only the slow servers are known", |site| {
+        (0..3).all(|node| {
+            let status = site.nodes[node].status();
+            status.contains("slow-5") && !status.contains("plain-")
+        })
+    });
+    Cut::Resets.begin(&site, 1);
+    let began = Instant::now();
+    while began.elapsed() < CONTACT_TIMEOUT {
+        site.send(1, "early", RequestKind::Stream("m0"));
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    std::thread::scope(|scope| {
+        for number in 0..4 {
+            let (id, site) = (format!("passed-on-{number}"), &site);
+            scope.spawn(move || site.send(1, &id, RequestKind::Idempotent));
+        }
+    });
+    for number in 0..4 {
+        let runs = site.runs_of(&format!("passed-on-{number}"));
+        assert!((1..=MAX_ATTEMPTS).contains(&runs), "{runs} runs");
+    }
+}
