Believe only nodes what a mark of a passed on request says

A request that a node passes on bears a mark with its caller's address and the number of servers that it was sent to. The address counted only from a known node; the number counted from any sender, so that an untrusted client could use up the budget for retries with it, or avoid the turns of refused callers. Found by reading, before any landing. The mark of another sender now keeps the request from being passed on, and does nothing else. The test covers marks of strangers and malformed ones.

--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -35,7 +35,7 @@
 mod proxy;
 mod quarantine;
 mod receive;
-mod relay;
+pub mod relay;
 mod request_body;
 mod request_quarantine;
 mod response;
--- a/savoryport/src/node/relay.rs
+++ b/savoryport/src/node/relay.rs
@@ -54,19 +54,20 @@
 }
 
 impl RelayMark {
-    /// Takes the mark of another node off a request; returns `None` if no node passes the request on. The
-    /// mark of a sender that is no node hides nobody's address.
-    pub(super) fn take(
-        headers: &mut HeaderMap,
-        sender: IpAddr,
-        members: &[Member],
-    ) -> Option<Self> {
+    /// Takes the mark of another node off a request; returns `None` if there is none. What a sender says
+    /// that is no node does not count, since a caller could hide its address, or use up the budget for
+    /// retries. Its mark only keeps the request from being passed on.
+    pub fn take(headers: &mut HeaderMap, sender: IpAddr, members: &[Member]) -> Option<Self> {
         let value = headers.remove(&RELAYED_FOR)?;
-        let is_node = members.iter().any(|member| member.callers.ip() == sender);
-        let (caller, attempts) =
-            value.to_str().ok().and_then(|value| value.split_once(' ')).unwrap_or_default();
-        let caller = caller.parse().ok().filter(|_| is_node).unwrap_or(sender);
-        Some(Self { caller, attempts: attempts.parse().unwrap_or(0) })
+        let unnamed = Self { caller: sender, attempts: 0 };
+        if !members.iter().any(|member| member.callers.ip() == sender) {
+            return Some(unnamed);
+        }
+        let parts = value.to_str().ok().and_then(|value| value.split_once(' '));
+        let named = parts.and_then(|(caller, attempts)| {
+            Some(Self { caller: caller.parse().ok()?, attempts: attempts.parse().ok()? })
+        });
+        Some(named.unwrap_or(unnamed))
     }
 }
 
--- a/savoryport/tests/node_parts.rs
+++ b/savoryport/tests/node_parts.rs
@@ -1,12 +1,15 @@
 //! Tests of parts of a node without a running node: the event splitter, the settings, the member
 //! list, the health of the store and the prompt log.
 
+use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
+use hyper::HeaderMap;
 use savoryport::node::event_splitter::{EventBoundary, EventSplitter};
 use savoryport::node::fleet::Fleet;
 use savoryport::node::prompt_log::PromptLog;
+use savoryport::node::relay::RelayMark;
 use savoryport::node::rpc::PromptRecord;
 use savoryport::node::settings::{NodeSettings, NodeSettingsError};
 use savoryport::node::store_reader::StoreHealth;
@@ -175,3 +178,22 @@
         "prefixes of other domains are not announced again"
     );
 }
+
+/// Guards against callers that hide their address, or use up the budget for retries.
+#[test]
+fn what_the_mark_of_a_passed_on_request_says_counts_only_from_a_node() {
+    let (node, caller) = (IpAddr::from([127, 0, 0, 1]), IpAddr::from([10, 9, 0, 1]));
+    let take = |value: &str, sender: IpAddr| {
+        let mut headers = HeaderMap::new();
+        headers.insert("savoryport-relayed-for", value.parse().expect("a header value"));
+        let mark = RelayMark::take(&mut headers, sender, &[member("vm-1")]);
+        assert!(headers.is_empty(), "servers see the mark");
+        mark.map(|mark| (mark.caller, mark.attempts))
+    };
+    assert_eq!(take("10.9.0.1 1", node), Some((caller, 1)));
+    assert_eq!(take("10.1.0.9 4294967295", caller), Some((caller, 0)));
+    for value in ["", "10.9.0.1", "nobody 1", "10.9.0.1 -1", "10.9.0.1 many"] {
+        assert_eq!(take(value, node), Some((node, 0)), "{value}");
+    }
+    assert!(RelayMark::take(&mut HeaderMap::new(), node, &[]).is_none());
+}
--- a/savoryport_core/src/node/server_link.rs
+++ b/savoryport_core/src/node/server_link.rs
@@ -27,7 +27,7 @@
 /// A node that has heard nothing of any server for this long asks after the first failure.
 const QUIET_TIME: Duration = Duration::from_millis(800);
 
-/// Requests are under way at this many servers that all send nothing for [`MAX_SILENCE`].
+/// Requests are in progress at this many servers that all send nothing for [`MAX_SILENCE`].
 const SILENT_SERVERS: usize = 2;
 
 /// A prefill of a long prompt takes about half of this.
@@ -93,7 +93,7 @@
     }
 
     /// Returns whether the node asks servers now, given the number of servers at which it has requests
-    /// under way.
+    /// in progress.
     pub fn is_round_due(&self, busy_servers: usize, now: Instant) -> bool {
         let is_within = |at: Instant, time: Duration| now.saturating_duration_since(at) < time;
         if self.asked_at.is_some_and(|at| is_within(at, ROUND_INTERVAL)) {
--- a/savoryport_core/src/node/stream_origins.rs
+++ b/savoryport_core/src/node/stream_origins.rs
@@ -43,7 +43,7 @@
     Own,
     /// A node that follows it did.
     Follower,
-    /// Another leader told it, or the store.
+    /// Another leader reported it, or the store has it.
     Elsewhere,
 }
 
