--- a/savoryport/src/node/mod.rs
+++ b/savoryport/src/node/mod.rs
@@ -5,8 +5,9 @@
 //! keys, messages and logs call the leadership a duty and the leader its holder.
 //!
 //! A request passes through `callers`, `receive`, `proxy`, `server_selection`, `model_requests`,
-//! `server_limits`, `server_response` and `stream`. `store_reader` and `sync` maintain the node's view of the fleet, and `leadership`
-//! the leases of the failure domains that it leads. `docs/DESIGN.md` explains the design.
+//! `server_limits`, `server_response` and `stream`, or goes to another node through `relay`.
+//! `store_reader` and `sync` maintain the node's view of the fleet, and `leadership` the leases of the
+//! failure domains that it leads. `docs/DESIGN.md` explains the design.
 
 mod caller_stream;
 mod callers;
--- a/savoryport_core/src/node/stream_origins.rs
+++ b/savoryport_core/src/node/stream_origins.rs
@@ -19,8 +19,8 @@
 /// streams of 15 s if all services have several versions at once.
 const MAX_STREAMS: usize = 100_000;
 
-/// A streams' record is in doubt if its server turns out to have started again with other software
-/// less than this long after the stream began: the node may have learned of the start that late.
+/// How late a node may learn that a server started again with other software. Streams that it recorded
+/// there within this time are in doubt.
 const LATE_ENTRY: Duration = Duration::from_secs(4);
 
 value! {
