Let nodes ask a full brittle server in turn

What callers saw: a brittle server that turned requests away got one request of every node in the same second again and again, more than it had said that it can bear, and would have fallen over with all that ran on it.

Cause: the pause after such a refusal is as long as all nodes need to ask once each, but nodes that find the server full together also end their pauses together. The bound held on average and in no second that mattered.

Fix: nodes take turns in the order of the member list. The first pause is longer by a node's place in that order, and later ones keep the place, also for a node that asks a little late. Pauses may last 120 s instead of 20, since the shorter bound broke the promise in large fleets (350 nodes, 10 requests a second).

--- a/savoryport/src/node/server_response.rs
+++ b/savoryport/src/node/server_response.rs
@@ -10,6 +10,7 @@
 };
 use savoryport_core::Name;
 use savoryport_core::node::health::ServerOutcome;
+use savoryport_core::node::server_notices::Turn;
 
 use super::proxy::{Attempt, OpenedResponse, ProxyRequest};
 use super::response::forward_response;
@@ -136,7 +137,7 @@
     /// while.
     fn learn_from_refusal(&self, status: StatusCode, selected: &SelectedServer) {
         let (server, now) = (&selected.server, self.cx.now());
-        let nodes = self.cx.fleet.view().members.len();
+        let turn = self.own_turn();
         let mut routing = self.cx.routing.lock();
         match (status, self.copy_name()) {
             (StatusCode::MISDIRECTED_REQUEST, Some(copy)) => {
@@ -144,12 +145,19 @@
             }
             (StatusCode::SERVICE_UNAVAILABLE, _) => {
                 routing.health.record_full(&server.id, self.route.rank, now);
-                routing.notices.record_full(&server.id, server.incarnation, nodes, now);
+                routing.notices.record_full(&server.id, server.incarnation, turn, now);
             }
             _ => {}
         }
     }
 
+    /// Returns this node's place among all. Views list nodes in the same order.
+    fn own_turn(&self) -> Turn {
+        let view = self.cx.fleet.view();
+        let position = view.members.iter().position(|member| member.vm == self.cx.settings.vm);
+        Turn { position: position.unwrap_or_default(), nodes: view.members.len() }
+    }
+
     /// Returns `model` or `model/adapter`, as the request asks for it.
     pub(super) fn copy_name(&self) -> Option<Name> {
         let generation = self.head.generation.as_ref()?;
--- a/savoryport_core/src/node/server_notices.rs
+++ b/savoryport_core/src/node/server_notices.rs
@@ -26,9 +26,18 @@
 /// The share of the requests that a brittle server can turn away which all nodes together send in vain.
 const REFUSED_SHARE: f64 = 0.5;
 
-/// The pauses of a brittle server that was full.
+/// The time between two turns of a node with a brittle server that was full.
 const BRITTLE_PAUSES: std::ops::RangeInclusive<Duration> =
-    Duration::from_millis(200)..=Duration::from_secs(20);
+    Duration::from_millis(200)..=Duration::from_secs(120);
+
+/// The place of this node among all, in the order in which they ask a brittle server that was full.
+#[derive(Debug, Clone, Copy)]
+pub struct Turn {
+    /// How many nodes come before this one.
+    pub position: usize,
+    /// The number of nodes, this one included.
+    pub nodes: usize,
+}
 
 /// What each server has announced, for its current incarnation.
 #[derive(Debug, Clone, Default)]
@@ -44,6 +53,8 @@
     has_unreadable_pause: bool,
     /// The requests a second that the server can turn away, if it is brittle.
     bearable_refusals: Option<f64>,
+    /// When this node may ask a brittle server again that was full.
+    next_turn: Option<Instant>,
 }
 
 impl ServerNotices {
@@ -84,14 +95,22 @@
     }
 
     /// Records that a server turned a request away for want of room. A brittle one gets none of this node
-    /// until all of so many nodes may have asked once, within what it can turn away.
-    pub fn record_full(&mut self, server: &Name, incarnation: u64, nodes: usize, now: Instant) {
+    /// until its next turn. Nodes that find the server full at the same time have turns one after the other,
+    /// so that no second holds more requests than it can turn away.
+    pub fn record_full(&mut self, server: &Name, incarnation: u64, turn: Turn, now: Instant) {
         let bearable = self.notice(server, incarnation).and_then(|notice| notice.bearable_refusals);
         let Some(bearable) = bearable else { return };
+        let nodes = turn.nodes.max(1);
         let seconds = nodes as f64 / (bearable * REFUSED_SHARE).max(f64::MIN_POSITIVE);
-        let pause = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
-        let pause = pause.clamp(*BRITTLE_PAUSES.start(), *BRITTLE_PAUSES.end());
-        self.record_pause(server, incarnation, pause, now);
+        let period = Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX);
+        let period = period.clamp(*BRITTLE_PAUSES.start(), *BRITTLE_PAUSES.end());
+        let own_part = period.mul_f64(turn.position as f64 / nodes as f64);
+        let notice = self.notice_mut(server, incarnation);
+        // A node that asks a little late keeps its place.
+        let current = notice.next_turn.filter(|turn| now < *turn + period);
+        let next = current.map_or(now + period + own_part, |turn| turn + period);
+        notice.next_turn = Some(next);
+        self.record_pause(server, incarnation, next - now, now);
     }
 
     /// Returns whether a server with so many slots and requests in progress has room, as far as it
