Keep a brittle server's room also when it is back

A brittle server that fell over and came back was filled by all nodes as if it were sound, until each of them had an answer of it; the first requests to a server whose siblings had said that they are brittle went the same way.

Cause: what a server says in Server-Brittle was kept for its incarnation, but it holds for a time in which all servers of a service are brittle (LIMIT).

Fix: the last such answer of any server of a service counts for all of its servers; what a server said itself goes on until it answers without the header. The test did not hold before (its API takes the service now, so that it does not compile on the code before; has_room of a second incarnation was asserted to be true there, which this test replaces by the opposite).

--- a/savoryport/src/node/server_response.rs
+++ b/savoryport/src/node/server_response.rs
@@ -95,7 +95,8 @@
         let bearable = bearable_refusals(headers);
         // Only a server's own answer shows that it is no longer brittle.
         let is_known = bearable.is_some() || kind == ResponseKind::Success;
-        let brittleness_changed = is_known && notices.record_brittleness(id, incarnation, bearable);
+        let brittleness_changed =
+            is_known && notices.record_brittleness(id, incarnation, &server.service, bearable);
         let warns = match pause {
             RequestedPause::None => false,
             RequestedPause::For(pause) => {
--- a/savoryport/src/node/server_selection.rs
+++ b/savoryport/src/node/server_selection.rs
@@ -505,7 +505,8 @@
                 return Err("wants no requests");
             }
             let running = routing.loads.total(&server.id).running;
-            if !routing.notices.has_room(&server.id, server.incarnation, server.slots, running) {
+            let id = (&*server.id, server.incarnation);
+            if !routing.notices.has_room(id, &server.service, server.slots, running) {
                 return Err("is brittle and nearly full");
             }
             if lacks_copy(server) {
--- a/savoryport_core/src/node/server_notices.rs
+++ b/savoryport_core/src/node/server_notices.rs
@@ -43,6 +43,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct ServerNotices {
     servers: HashMap<Name, Notice>,
+    /// The requests a second that the servers of a service can turn away, as the last answer of any of
+    /// them says. It counts for servers that have not answered yet, such as one that fell over and is back.
+    brittle_services: HashMap<Name, f64>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -85,8 +88,13 @@
         &mut self,
         server: &Name,
         incarnation: u64,
+        service: &Name,
         bearable_refusals: Option<f64>,
     ) -> bool {
+        match bearable_refusals {
+            Some(bearable) => self.brittle_services.insert(service.clone(), bearable),
+            None => self.brittle_services.remove(service),
+        };
         if bearable_refusals.is_none() && self.notice(server, incarnation).is_none() {
             return false;
         }
@@ -113,11 +121,17 @@
         self.record_pause(server, incarnation, next - now, now);
     }
 
-    /// Returns whether a server with so many slots and requests in progress has room, as far as it
-    /// matters: only a brittle one must not be sent what it would turn away.
-    pub fn has_room(&self, server: &str, incarnation: u64, slots: u32, running: u32) -> bool {
-        let is_brittle =
-            self.notice(server, incarnation).is_some_and(|it| it.bearable_refusals.is_some());
+    /// Returns whether a server of a service, with so many slots and requests in progress, has room, as far
+    /// as it matters: only a brittle one must not be sent what it would turn away.
+    pub fn has_room(
+        &self,
+        (server, incarnation): (&str, u64),
+        service: &str,
+        slots: u32,
+        running: u32,
+    ) -> bool {
+        let own = self.notice(server, incarnation).and_then(|notice| notice.bearable_refusals);
+        let is_brittle = own.is_some() || self.brittle_services.contains_key(service);
         !is_brittle || f64::from(running) < (f64::from(slots) * BRITTLE_SHARE).max(1.0)
     }
 
--- a/savoryport_core/tests/server_notices.rs
+++ b/savoryport_core/tests/server_notices.rs
@@ -51,7 +51,7 @@
 /// Guards against nodes whose pauses end together, each of which is as long as the server can bear.
 #[test]
 fn nodes_that_find_a_brittle_server_full_together_do_not_ask_again_together() {
-    let (start, server) = (Instant::now(), Name::from("a"));
+    let (start, server, service) = (Instant::now(), Name::from("a"), Name::from("s"));
     for (nodes, bearable) in [(2, 5.0), (3, 2.0), (8, 20.0), (60, 10.0), (350, 40.0), (350, 10.0)] {
         let mut asked = Vec::new();
         for position in 0..nodes {
@@ -63,8 +63,8 @@
             let mut notices = ServerNotices::default();
             notices.record_full(&server, 1, turn, start);
             assert!(notices.allow("a", 1, start), "it has not said that it is brittle");
-            assert!(notices.record_brittleness(&server, 1, Some(bearable)));
-            assert!(!notices.record_brittleness(&server, 1, Some(bearable)));
+            assert!(notices.record_brittleness(&server, 1, &service, Some(bearable)));
+            assert!(!notices.record_brittleness(&server, 1, &service, Some(bearable)));
             let period = nodes as f64 / bearable * 2.0;
             let mut now = start + waits(0);
             for number in 1.. {
@@ -92,14 +92,31 @@
 }
 
 #[test]
-fn a_brittle_server_gets_requests_only_while_it_has_room_and_until_it_starts_again() {
-    let server = Name::from("a");
+fn a_brittle_server_gets_requests_only_while_it_has_room() {
+    let (server, service) = (Name::from("a"), Name::from("s"));
     let mut notices = ServerNotices::default();
-    assert!(notices.has_room("a", 1, 6, 100), "others may queue requests");
-    notices.record_brittleness(&server, 1, Some(5.0));
-    assert!(notices.has_room("a", 1, 64, 54) && !notices.has_room("a", 1, 64, 55));
-    assert!(notices.has_room("a", 1, 1, 0) && !notices.has_room("a", 1, 1, 1));
-    assert!(notices.has_room("a", 2, 64, 64), "it has started again");
-    assert!(notices.record_brittleness(&server, 1, None));
-    assert!(notices.has_room("a", 1, 64, 64));
+    let has_room =
+        |notices: &ServerNotices, slots, running| notices.has_room(("a", 1), "s", slots, running);
+    assert!(has_room(&notices, 6, 100), "others may queue requests");
+    notices.record_brittleness(&server, 1, &service, Some(5.0));
+    assert!(has_room(&notices, 64, 54) && !has_room(&notices, 64, 55));
+    assert!(has_room(&notices, 1, 0) && !has_room(&notices, 1, 1));
+    assert!(notices.record_brittleness(&server, 1, &service, None));
+    assert!(has_room(&notices, 64, 64));
+}
+
+/// Guards against a server that fell over and gets as much as a sound one when it is back, and against the
+/// first requests to a server whose siblings are known to be brittle.
+#[test]
+fn brittle_server_that_is_back_is_not_filled_at_once() {
+    let (a, b, service) = (Name::from("a"), Name::from("b"), Name::from("s"));
+    let mut notices = ServerNotices::default();
+    notices.record_brittleness(&a, 1, &service, Some(5.0));
+    assert!(!notices.has_room(("a", 2), "s", 64, 64), "it has started again");
+    assert!(!notices.has_room(("b", 1), "s", 64, 64), "it has not answered yet");
+    assert!(notices.has_room(("c", 1), "t", 64, 64), "it is of another service");
+    // One server that is sound again says nothing about another that said it is brittle.
+    assert!(!notices.record_brittleness(&b, 1, &service, None));
+    assert!(notices.has_room(("a", 2), "s", 64, 64) && notices.has_room(("b", 1), "s", 64, 64));
+    assert!(!notices.has_room(("a", 1), "s", 64, 64));
 }
