Close a crashed engine's listener before its connections

What was seen: caller_whose_request_crashed_servers_is_not_refused_as_if_it_had_not_run failed once in three whole runs: (502, None, 3) where (400, None, 2) is due, listed in KNOWN-RED.txt.

Cause: the stand-in gave the thread that accepts connections 6 ms to close the listener of a crashed engine, and then closed the connections. If that thread was late, the node's probe found a listener, so that it took the crash for a broken connection, rightly: a process that has ended leaves none behind.

Fix: the connections are closed once the listener is.

--- a/savoryport_standin/src/raw_engine.rs
+++ b/savoryport_standin/src/raw_engine.rs
@@ -113,6 +113,8 @@
     crashes: Vec<Instant>,
     /// The end of the downtime after a crash, and whether the listener has to be replaced.
     down_until: Option<Instant>,
+    /// Whether the listener is open.
+    is_listening: bool,
     connections: Vec<TcpStream>,
 }
 
@@ -144,7 +146,12 @@
     pub fn start(cfg: RawEngineConfig, store: &MetadataStandin, incarnation: u64) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free local port");
         let address = listener.local_addr().expect("a bound socket").to_string();
-        let state = Mutex::new(State { id: cfg.id.clone(), incarnation, ..State::default() });
+        let state = Mutex::new(State {
+            id: cfg.id.clone(),
+            incarnation,
+            is_listening: true,
+            ..State::default()
+        });
         let shared = Arc::new(Shared { cfg, address, store: store.clone(), state });
         shared.register();
         // The thread ends with the last handle of the engine.
@@ -180,7 +187,10 @@
     while let Some(shared) = engine.upgrade() {
         let down_until = shared.lock().down_until;
         match (down_until, &listener) {
-            (Some(until), _) if Instant::now() < until => listener = None,
+            (Some(until), _) if Instant::now() < until => {
+                listener = None;
+                shared.lock().is_listening = false;
+            }
             (Some(_), _) => {
                 listener = TcpListener::bind(&shared.address).ok();
                 if listener.is_some() {
@@ -238,7 +248,9 @@
         state.crashes.push(now);
         drop(state);
         // The accepting thread closes the listener first, since a crash leaves none behind.
-        thread::sleep(ACCEPT_POLL * 3);
+        while self.lock().is_listening {
+            thread::sleep(ACCEPT_POLL);
+        }
         for connection in self.lock().connections.drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
@@ -247,6 +259,7 @@
     fn restart(&self) {
         let mut state = self.lock();
         state.down_until = None;
+        state.is_listening = true;
         state.incarnation += 1_000_000;
         state.accepted_orders = 0;
         let former_id = match self.cfg.fault {
