Keep the ports of links that are cut in tests

Cause: a link that refuses connections closes its listener on 127.0.0.1, and the port becomes that of another listener. The node then connects to a server of somebody else's test and takes its links for sound: its log says "servers reached again" 0.3 to 4 s after "cut off from all servers", while nothing had been healed.

No check was changed.

--- a/savoryport/tests/node_site/mod.rs
+++ b/savoryport/tests/node_site/mod.rs
@@ -79,7 +79,8 @@
         let mut links = self.0.lock().expect("no thread panics while holding the lock");
         let (proxies, faults) = &mut *links;
         let start = || {
-            let proxy = Proxy::start("127.0.0.1:0", server);
+            // The port of a link that refuses connections must not become that of another listener.
+            let proxy = Proxy::start(&free_address(), server);
             proxy.set_faults(|current| *current = *faults);
             proxy
         };
