Count the servers of a request that an unknown node passes on

Cause: the mark of a passed on request names the servers that it was sent to before. It counted only if the sender's address was that of a known node, since a stranger could use up the budget for retries with it. A node that has just started, or connects from another address than the one at which it listens, is no known node then, and what it had sent already was forgotten.

In the tests all nodes connect from another address than the one at which they listen. a_request_of_an_unknown_node_reaches_no_more_servers_than_its_route_allows failed before with 2 runs after 1.

Fix: the number of servers counts whoever names it, which can only cost the sender itself. The address of the caller, and that the request is a retry for the budget, still count from known nodes alone. The test of the mark asserted 0 servers for an unknown sender; it asserts the number and that it is no retry now, which keeps the bound that it guards.

--- a/savoryport/src/node/proxy.rs
+++ b/savoryport/src/node/proxy.rs
@@ -214,13 +214,18 @@
     /// Returns whether the request may be sent to one more server; a retry is taken from the retry
     /// budget.
     pub(super) fn reserve_attempt(&self) -> bool {
-        let (attempts, now) = (self.attempts(), self.cx.now());
+        let now = self.cx.now();
+        let is_retry =
+            !self.attempted_servers.is_empty() || self.relay.is_some_and(|relay| relay.is_retry());
+        if self.attempts() >= self.route.max_attempts.max(1) {
+            return false;
+        }
         let mut routing = self.cx.routing.lock();
-        if attempts == 0 {
-            routing.retry_budget.on_request(&self.service, now);
-            return true;
+        if is_retry {
+            return routing.retry_budget.try_take(&self.service, now);
         }
-        attempts < self.route.max_attempts && routing.retry_budget.try_take(&self.service, now)
+        routing.retry_budget.on_request(&self.service, now);
+        true
     }
 
     /// Returns why the request may not be sent to another server, or `None` if it may.
--- a/savoryport/src/node/relay.rs
+++ b/savoryport/src/node/relay.rs
@@ -42,6 +42,8 @@
     pub caller: IpAddr,
     /// The number of servers that the request was sent to before.
     pub attempts: u32,
+    /// Whether the sender is known to be a node.
+    pub is_from_node: bool,
 }
 
 /// What the answer of another node means for the request.
@@ -54,20 +56,27 @@
 }
 
 impl RelayMark {
-    /// Takes the mark of another node off a request; returns `None` if there is none. What a sender says
-    /// that is no node does not count, since a caller could hide its address, or use up the budget for
-    /// retries. Its mark only keeps the request from being passed on.
+    /// Takes the mark of another node off a request; returns `None` if there is none.
+    ///
+    /// A sender that is not known may be a node: one that has just started, or whose connections come from
+    /// another address than the one at which it listens. So the number of servers counts all the same. But
+    /// it may be a stranger too, which could hide its address, or use up the budget for retries: its
+    /// request counts as its own, and as a new one.
     pub fn take(headers: &mut HeaderMap, sender: IpAddr, members: &[Member]) -> Option<Self> {
         let value = headers.remove(&RELAYED_FOR)?;
-        let unnamed = Self { caller: sender, attempts: 0 };
-        if !members.iter().any(|member| member.callers.ip() == sender) {
-            return Some(unnamed);
-        }
+        let is_from_node = members.iter().any(|member| member.callers.ip() == sender);
         let parts = value.to_str().ok().and_then(|value| value.split_once(' '));
         let named = parts.and_then(|(caller, attempts)| {
-            Some(Self { caller: caller.parse().ok()?, attempts: attempts.parse().ok()? })
+            Some((caller.parse::<IpAddr>().ok()?, attempts.parse().ok()?))
         });
-        Some(named.unwrap_or(unnamed))
+        let (named_caller, attempts) = named.unwrap_or((sender, 0));
+        let caller = if is_from_node { named_caller } else { sender };
+        Some(Self { caller, attempts, is_from_node })
+    }
+
+    /// Returns whether the request is a retry for the service.
+    pub fn is_retry(&self) -> bool {
+        self.is_from_node && self.attempts > 0
     }
 }
 
--- a/savoryport/tests/node_parts.rs
+++ b/savoryport/tests/node_parts.rs
@@ -179,21 +179,23 @@
     );
 }
 
-/// Guards against callers that hide their address, or use up the budget for retries.
+/// Guards against callers that hide their address, or use up the budget for retries, and against a node
+/// that takes a request which an unknown node has sent to a server for a new one.
 #[test]
-fn what_the_mark_of_a_passed_on_request_says_counts_only_from_a_node() {
+fn what_the_mark_of_a_passed_on_request_says_of_its_caller_counts_only_from_a_node() {
     let (node, caller) = (IpAddr::from([127, 0, 0, 1]), IpAddr::from([10, 9, 0, 1]));
     let take = |value: &str, sender: IpAddr| {
         let mut headers = HeaderMap::new();
         headers.insert("savoryport-relayed-for", value.parse().expect("a header value"));
         let mark = RelayMark::take(&mut headers, sender, &[member("vm-1")]);
         assert!(headers.is_empty(), "servers see the mark");
-        mark.map(|mark| (mark.caller, mark.attempts))
+        mark.map(|mark| (mark.caller, mark.attempts, mark.is_retry()))
     };
-    assert_eq!(take("10.9.0.1 1", node), Some((caller, 1)));
-    assert_eq!(take("10.1.0.9 4294967295", caller), Some((caller, 0)));
+    assert_eq!(take("10.9.0.1 1", node), Some((caller, 1, true)));
+    assert_eq!(take("10.9.0.1 0", node), Some((caller, 0, false)));
+    assert_eq!(take("10.1.0.9 4294967295", caller), Some((caller, u32::MAX, false)));
     for value in ["", "10.9.0.1", "nobody 1", "10.9.0.1 -1", "10.9.0.1 many"] {
-        assert_eq!(take(value, node), Some((node, 0)), "{value}");
+        assert_eq!(take(value, node), Some((node, 0, false)), "{value}");
     }
     assert!(RelayMark::take(&mut HeaderMap::new(), node, &[]).is_none());
 }
--- a/savoryport/tests/node_server_links.rs
+++ b/savoryport/tests/node_server_links.rs
@@ -194,12 +194,11 @@
     assert_eq!(site.runs_of("leaves"), 1);
 }
 
-/// Guards against a request that runs on more servers than its route allows, since one node after the
-/// other tries it.
-#[test]
-fn a_request_that_is_passed_on_reaches_no_more_servers_than_its_route_allows() {
-    /// What the routes of the tests allow.
-    const MAX_ATTEMPTS: u32 = 2;
+/// The number of servers to which the routes of the tests allow a request to be sent.
+const MAX_ATTEMPTS: u32 = 2;
+
+/// Starts nodes before servers that take more than half of a request's time.
+fn start_with_slow_servers() -> NodeSite {
     let mut site = start();
     for number in 0..3 {
         site.server(&format!("plain-{number}")).deregister();
@@ -214,6 +213,14 @@
             status.contains("slow-5") && !status.contains("plain-")
         })
     });
+    site
+}
+
+/// Guards against a request that runs on more servers than its route allows, since one node after the
+/// other tries it.
+#[test]
+fn a_request_that_is_passed_on_reaches_no_more_servers_than_its_route_allows() {
+    let site = start_with_slow_servers();
     Cut::Resets.begin(&site, 1);
     let began = Instant::now();
     while began.elapsed() < CONTACT_TIMEOUT {
@@ -231,3 +238,24 @@
         assert!((1..=MAX_ATTEMPTS).contains(&runs), "{runs} runs");
     }
 }
+
+/// Guards against a node that takes a request which an unknown node has sent to a server for a new one.
+#[test]
+fn a_request_of_an_unknown_node_reaches_no_more_servers_than_its_route_allows() {
+    let site = start_with_slow_servers();
+    for attempts in 0..=MAX_ATTEMPTS {
+        let id = format!("passed-on-after-{attempts}");
+        let mut node = TcpStream::connect(&site.nodes[0].callers).expect("the node listens");
+        let head = format!(
+            "GET /lookup/{id} HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: {id}\r\n\
+             X-Deadline-Ms: 4000\r\nsavoryport-relayed-for: 10.9.0.1 {attempts}\r\n\
+             Connection: close\r\n\r\n"
+        );
+        node.write_all(head.as_bytes()).expect("the node reads");
+        let mut response = String::new();
+        let _ = node.read_to_string(&mut response);
+        let runs = site.runs_of(&id);
+        assert!(runs <= MAX_ATTEMPTS - attempts, "{runs} runs after {attempts}: {response}");
+        assert_eq!(runs == 0, response.starts_with("HTTP/1.1 503"), "{response}");
+    }
+}
