Count in the soak how often requests run, also at cut nodes

The run with versions and links checked that requests which run once do so, and that streams keep their version. It did not send idempotent requests, and no server or store failed in it. It does both now, and checks that nothing runs on more servers than its route allows, over all nodes that passed it on, and not at all after a refusal that says so.

--- a/savoryport/tests/node_soak.rs
+++ b/savoryport/tests/node_soak.rs
@@ -42,6 +42,12 @@
 /// The model of the streams that callers take up.
 const MIXED_MODEL: &str = "m3";
 
+/// The statuses by which a node says that a request did not run.
+const REFUSALS: [u16; 4] = [408, 421, 429, 503];
+
+/// The number of servers to which the routes of the tests allow a request that may be repeated to be sent.
+const MAX_ATTEMPTS: u32 = 2;
+
 /// The number of times that a caller takes up a stream.
 const TAKE_UPS: u32 = 20;
 
@@ -94,7 +100,10 @@
                         taken_up.fetch_add(count.into(), Ordering::Relaxed);
                         continue;
                     }
-                    let kind = RequestKind::NonIdempotent;
+                    let kind = match rng.random_bool(0.5) {
+                        true => RequestKind::Idempotent,
+                        false => RequestKind::NonIdempotent,
+                    };
                     let response = node_site::send_request(address, &id, kind);
                     check_response(seed, &id, kind, &response);
                     let mut responses =
@@ -116,17 +125,25 @@
         stopping.store(true, Ordering::Relaxed);
     });
     let responses = responses.into_inner().expect("no thread panics while holding the lock");
-    let runs = site.runs();
-    for (id, (_, status)) in &responses {
-        let ran = runs.get(id).copied().unwrap_or(0);
-        let says_not_run = [408, 421, 429, 503].contains(status);
-        assert!(ran <= 1 && (!says_not_run || ran == 0), "seed {seed}: {id} ran {ran}, {status}");
-    }
+    check_attempts(seed, &site, &responses);
     println!("{} streams taken up", taken_up.into_inner());
     check_orders(seed, &site);
     check_recovery(seed, &site);
 }
 
+/// Checks that requests ran as often as their routes allow at most, over all nodes that passed them on, and
+/// not at all if the response says so.
+fn check_attempts(seed: u64, site: &NodeSite, responses: &Responses) {
+    for (id, ran) in site.runs().into_iter().filter(|(id, _)| id.starts_with('r')) {
+        // The streams that are taken up have no entry.
+        let response = responses.get(&id);
+        let runs_once = matches!(response, Some((RequestKind::NonIdempotent, _)));
+        let allowed = if runs_once { 1 } else { MAX_ATTEMPTS };
+        let says_not_run = response.is_some_and(|(_, status)| REFUSALS.contains(status));
+        assert!(ran <= allowed && !says_not_run, "seed {seed}: {id} ran {ran} times, {response:?}");
+    }
+}
+
 /// Starts a server with the model of the streams that are taken up.
 fn start_version(site: &mut NodeSite, software: &'static str, number: u32) {
     site.software = software;
@@ -166,11 +183,12 @@
     taken_up
 }
 
-/// Replaces a server by one with other software, cuts or heals links, or kills nodes.
+/// Replaces a server by one with other software, cuts or heals links, kills nodes, or lets a server or the
+/// store fail.
 fn inject_version_or_link_fault(site: &mut NodeSite, number: u32, rng: &mut SmallRng) {
     let node = rng.random_range(0..site.nodes.len());
     let links = site.nodes[node].server_links.clone();
-    match rng.random_range(0..8) {
+    match rng.random_range(0..10) {
         0 => links.set_faults(Faults { hang_connects: true, pause: true, ..Faults::default() }),
         1 => {
             links.set_faults(Faults { close_listener: true, ..Faults::default() });
@@ -190,6 +208,22 @@
             start_version(site, software, number);
         }
         6 => kill_nodes(site, node..node + 1),
+        7 => {
+            let faults = [
+                BackendFault::Full,
+                BackendFault::DropsResponses,
+                BackendFault::BreaksStreams,
+                BackendFault::InternalError,
+                BackendFault::None,
+            ];
+            let server = rng.random_range(0..site.servers.len());
+            site.servers[server].set_fault(faults[rng.random_range(0..faults.len())]);
+        }
+        8 => {
+            site.store.set_mode(StoreMode::Busy);
+            std::thread::sleep(Duration::from_millis(rng.random_range(50..600)));
+            site.store.set_mode(StoreMode::Up);
+        }
         _ => kill_nodes(site, 0..site.nodes.len()),
     }
 }
@@ -397,8 +431,7 @@
         let ran = runs.get(id).copied().unwrap_or(0);
         if matches!(kind, RequestKind::NonIdempotent) {
             assert!(ran <= 1, "seed {seed}: {id} ran {ran} times");
-            let says_not_run = [408, 421, 429, 503].contains(status);
-            assert!(!says_not_run || ran == 0, "seed {seed}: {id} ran after {status}");
+            assert!(!REFUSALS.contains(status) || ran == 0, "seed {seed}: {id} ran after {status}");
         }
     }
     for id in runs.keys().filter(|id| id.starts_with('r')) {
