Count requests that a brittle server turns away together as one turn

What callers would have seen: a brittle server that was full for a moment gets nothing of a node for many turns, since each of the requests that were on their way to it together moved the node's next turn by one.

Cause: a refusal before the turn was taken for one in it. Evidence: ten refusals within 9 ms set the next turn 31 s away where 4 s are due (requests_that_are_turned_away_together_cost_a_node_one_turn, failed before).

Fix: a refusal before the turn leaves it where it is.

--- a/savoryport_core/src/node/server_notices.rs
+++ b/savoryport_core/src/node/server_notices.rs
@@ -114,9 +114,13 @@
         let period = period.clamp(*BRITTLE_PAUSES.start(), *BRITTLE_PAUSES.end());
         let own_part = period.mul_f64(turn.position as f64 / nodes as f64);
         let notice = self.notice_mut(server, incarnation);
-        // A node that asks a little late keeps its place.
-        let current = notice.next_turn.filter(|turn| now < *turn + period);
-        let next = current.map_or(now + period + own_part, |turn| turn + period);
+        let next = match notice.next_turn {
+            // The request was on its way already when another was turned away.
+            Some(at) if now < at => at,
+            // A node that asks a little late keeps its place.
+            Some(at) if now < at + period => at + period,
+            Some(_) | None => now + period + own_part,
+        };
         notice.next_turn = Some(next);
         self.record_pause(server, incarnation, next - now, now);
     }
--- a/savoryport_core/tests/server_notices.rs
+++ b/savoryport_core/tests/server_notices.rs
@@ -91,6 +91,22 @@
     }
 }
 
+/// Guards against a node that leaves a server alone for longer with each of the requests that were on their
+/// way to it together.
+#[test]
+fn requests_that_are_turned_away_together_cost_a_node_one_turn() {
+    let (now, server, service) = (Instant::now(), Name::from("a"), Name::from("s"));
+    let mut notices = ServerNotices::default();
+    notices.record_brittleness(&server, 1, &service, Some(2.0));
+    let turn = Turn { position: 1, nodes: 3 };
+    for number in 0..10 {
+        notices.record_full(&server, 1, turn, now + Duration::from_millis(number));
+    }
+    assert_eq!(notices.remaining_pause("a", 1, now), Some(4 * SECOND));
+    notices.record_full(&server, 1, turn, now + 4 * SECOND);
+    assert_eq!(notices.remaining_pause("a", 1, now + 4 * SECOND), Some(3 * SECOND));
+}
+
 #[test]
 fn a_brittle_server_gets_requests_only_while_it_has_room() {
     let (server, service) = (Name::from("a"), Name::from("s"));
